Thin whole path: caller, entry host, owner host, target and back

Cause: nothing existed; the first need is a request that travels the whole way through separate processes.

What was weighed: every host dispatching by itself cannot share replicas of 2 to 6 slots between 7 hosts; so each shard has an owner host, kept in one assignment value in the platform's store, with a deputy in another zone. The daemon keeps all decisions in one deterministic core; sockets, gRPC streams and the store sit behind interfaces.

--- /dev/null
+++ b/tanagerspur/common/time.hpp
@@ -0,0 +1,40 @@
+// Time as the decision objects see it: a monotonic count of microseconds that is passed in, so
+// that the same objects run on a real clock and on virtual time.
+
+#ifndef TANAGERSPUR_COMMON_TIME_HPP
+#define TANAGERSPUR_COMMON_TIME_HPP
+
+#include <chrono>
+
+namespace tanagerspur
+{
+
+using duration = std::chrono::microseconds;
+
+// Tag of the monotonic time line; it has no now(), which belongs to the adapters.
+struct monotonic_time_line
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_time_line, duration>;
+    static constexpr bool is_steady = true;
+};
+
+using time_point = monotonic_time_line::time_point;
+
+// A time that is never reached.
+inline constexpr time_point never = time_point::max();
+
+// The machine's steady clock on the monotonic time line.
+time_point steady_now();
+
+// Milliseconds with a fraction, for reports.
+inline double to_ms(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/dispatch/attempts.cpp
@@ -0,0 +1,243 @@
+// The life of an attempt: start, end, and what follows from its end.
+
+#include "tanagerspur/dispatch/shard_dispatcher.hpp"
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+// Ends after which the work surely did not run at that replica.
+bool surely_did_not_run(attempt_end end)
+{
+    return end == attempt_end::refused || end == attempt_end::draining ||
+           end == attempt_end::version_missing || end == attempt_end::not_connected;
+}
+
+reason reason_of(attempt_end end)
+{
+    switch (end)
+    {
+    case attempt_end::answered:
+        return reason::none;
+    case attempt_end::refused:
+    case attempt_end::draining:
+        return reason::target_refused;
+    case attempt_end::version_missing:
+        return reason::version_unavailable;
+    case attempt_end::not_connected:
+        return reason::replicas_unavailable;
+    case attempt_end::cancelled:
+        return reason::cancelled;
+    case attempt_end::failed:
+        return reason::target_error;
+    case attempt_end::lost:
+        return reason::connection_lost;
+    }
+    return reason::target_error;
+}
+
+} // namespace
+
+void shard_dispatcher::start_attempt(time_point now, pending& entry, std::size_t replica,
+                                     bool is_hedge)
+{
+    const attempt_id id{m_next_attempt++};
+    const time_point deadline =
+        std::min(entry.request.deadline, now + m_options.limits.max_attempt_time);
+    ++entry.attempts;
+    ++entry.running;
+    if (entry.attempts == 1)
+    {
+        ++m_counts.first_attempts;
+        m_budget.earn(utilisation());
+    }
+    ++m_replicas[replica].in_flight;
+    ++m_in_flight;
+    m_attempts.push_back({.id = id,
+                          .owner = entry.request.id,
+                          .replica = replica,
+                          .started = now,
+                          .deadline = deadline,
+                          .is_hedge = is_hedge});
+    m_actions.send(id, replica, entry.request, deadline);
+}
+
+void shard_dispatcher::on_result(time_point now, attempt_id id, const attempt_result& result)
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(),
+                                    [&](const attempt& each) { return each.id == id; });
+    if (found == m_attempts.end() || id.value() == 0)
+    {
+        ++m_counts.unmatched_results;
+        return;
+    }
+    const attempt ended = *found;
+    if (result.end == attempt_end::lost && now < ended.deadline)
+    {
+        // The replica may go on working until the deadline that it was given.
+        found->id = attempt_id{0};
+        found->is_abandoned = true;
+    }
+    else
+    {
+        m_attempts.erase(found);
+        --m_replicas[ended.replica].in_flight;
+        --m_in_flight;
+    }
+    account(now, ended, result);
+    resolve(now, ended, result);
+    pump(now);
+    hedge(now);
+}
+
+// What the end tells about the replica.
+void shard_dispatcher::account(time_point now, const attempt& ended, const attempt_result& result)
+{
+    replica_state& state = m_replicas[ended.replica];
+    const duration latency = now - ended.started;
+    switch (result.end)
+    {
+    case attempt_end::answered:
+        state.health.on_success(now);
+        state.latency.record(latency);
+        m_mean_latency.record(latency);
+        m_hedge_latency.record(latency);
+        break;
+    case attempt_end::draining:
+        state.draining = true;
+        break;
+    case attempt_end::lost:
+        // A connection that had carried calls before is suspected first.
+        if (!result.reused_connection)
+            state.health.on_failure(now);
+        break;
+    case attempt_end::not_connected:
+    case attempt_end::failed:
+        state.health.on_failure(now);
+        break;
+    case attempt_end::cancelled:
+        // A slow attempt that lost to its hedge still shows how slow the replica is.
+        state.latency.record(latency);
+        break;
+    case attempt_end::refused:
+    case attempt_end::version_missing:
+        break;
+    }
+}
+
+// A version that a replica refused is no longer counted on until its next report.
+void shard_dispatcher::note_versions(std::size_t replica, const attempt_result& result,
+                                     index_version wanted)
+{
+    replica_state& state = m_replicas[replica];
+    if (result.end == attempt_end::version_missing)
+        std::erase(state.versions, wanted);
+}
+
+void shard_dispatcher::resolve(time_point now, const attempt& ended, const attempt_result& result)
+{
+    const auto found = m_pending.find(ended.owner.value());
+    if (ended.is_abandoned || found == m_pending.end())
+        return;
+    pending& entry = found->second;
+    --entry.running;
+    note_versions(ended.replica, result, entry.request.version);
+    if (result.end == attempt_end::answered && result.version == entry.request.version)
+    {
+        if (ended.is_hedge)
+            ++m_counts.hedge_wins;
+        return finish(entry,
+                      {.outcome = verdict::done, .version = result.version, .rows = result.rows});
+    }
+    entry.excluded |= std::uint64_t{1} << ended.replica;
+    if (result.end == attempt_end::version_missing)
+        entry.lacking_version |= std::uint64_t{1} << ended.replica;
+    if (!surely_did_not_run(result.end))
+        entry.may_have_run = true;
+    entry.last_message = result.message;
+    entry.last_reason = reason_of(result.end);
+    // A hedge is still under way, and may answer.
+    if (entry.running > 0)
+        return;
+    retry_or_fail(now, entry, ended, result.end);
+}
+
+void shard_dispatcher::retry_or_fail(time_point now, pending& entry, const attempt& ended,
+                                     attempt_end end)
+{
+    if (entry.request.deadline <= now)
+        return fail(entry, reason::deadline_passed, "the deadline passed during the attempt");
+    const bool has_attempts = entry.attempts < m_options.max_attempts;
+    if (surely_did_not_run(end) && !entry.may_have_run && has_attempts)
+    {
+        // A replica that sheds load may take the request later.
+        if (end == attempt_end::refused && is_hopeless(entry))
+            entry.excluded &= entry.lacking_version;
+        return requeue(entry);
+    }
+    const bool may_repeat = entry.request.idempotent && has_attempts;
+    if (may_repeat && (surely_did_not_run(end) || m_budget.try_spend()))
+    {
+        // With no other replica left, the same one over a new connection is the only hope.
+        if (is_hopeless(entry))
+            entry.excluded &= ~(std::uint64_t{1} << ended.replica);
+        return requeue(entry);
+    }
+    fail(entry, entry.last_reason, entry.last_message);
+}
+
+void shard_dispatcher::requeue(pending& entry)
+{
+    ++m_counts.retries;
+    entry.is_queued = true;
+    m_queue.emplace(entry.position, entry.request.id);
+}
+
+void shard_dispatcher::fail(pending& entry, reason why, const std::string& message)
+{
+    finish(entry, {.outcome = entry.may_have_run ? verdict::may_have_run : verdict::not_run,
+                   .why = why,
+                   .message = message,
+                   .version = entry.request.version,
+                   .rows = {}});
+}
+
+void shard_dispatcher::finish(pending& entry, sub_result result)
+{
+    result.attempts = entry.attempts;
+    switch (result.outcome)
+    {
+    case verdict::done:
+        ++m_counts.done;
+        break;
+    case verdict::not_run:
+        ++m_counts.not_run;
+        break;
+    case verdict::may_have_run:
+        ++m_counts.may_have_run;
+        break;
+    }
+    const sub_request_id id = entry.request.id;
+    m_pending.erase(id.value());
+    abandon_attempts(id);
+    m_actions.complete(id, result);
+}
+
+// Attempts of a finished sub-request go on until the replica confirms that they stopped; they
+// keep their place in the accounting until then.
+void shard_dispatcher::abandon_attempts(sub_request_id id)
+{
+    for (attempt& each : m_attempts)
+    {
+        if (each.owner != id || each.is_abandoned)
+            continue;
+        each.is_abandoned = true;
+        m_actions.cancel(each.id, each.replica);
+    }
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/dispatch/budget.hpp
@@ -0,0 +1,53 @@
+// A budget for work beyond the least needed: hedges, and retries that may repeat work. Each
+// first attempt earns a fraction; an extra attempt costs one. The fraction fades to nothing as
+// the replicas fill, so that extra work never feeds an overload.
+
+#ifndef TANAGERSPUR_DISPATCH_BUDGET_HPP
+#define TANAGERSPUR_DISPATCH_BUDGET_HPP
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+class extra_load_budget
+{
+public:
+    // fraction: extra attempts per first attempt.
+    explicit extra_load_budget(double fraction)
+        : m_fraction(fraction)
+    {
+    }
+
+    void set_fraction(double fraction) { m_fraction = fraction; }
+
+    // A first attempt was made while this share (0 to 1) of the slots was in use.
+    void earn(double utilisation)
+    {
+        const double fade =
+            std::clamp((fade_end - utilisation) / (fade_end - fade_begin), 0.0, 1.0);
+        m_tokens = std::min(max_tokens, m_tokens + m_fraction * fade);
+    }
+
+    bool try_spend()
+    {
+        if (m_tokens < 1)
+            return false;
+        m_tokens -= 1;
+        return true;
+    }
+
+    double tokens() const { return m_tokens; }
+
+private:
+    static constexpr double fade_begin = 0.75;
+    static constexpr double fade_end = 0.90;
+    static constexpr double max_tokens = 10;
+
+    double m_fraction;
+    double m_tokens = 0;
+};
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/dispatch/replica_choice.cpp
@@ -0,0 +1,138 @@
+// Which replica takes the next attempt, and when a second one is worth its cost.
+
+#include "tanagerspur/dispatch/shard_dispatcher.hpp"
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+std::uint32_t shard_dispatcher::slots_of(std::size_t replica) const
+{
+    const std::uint32_t reported = m_replicas[replica].reported_slots;
+    return reported == 0 ? m_options.limits.slots : std::min(reported, m_options.limits.slots);
+}
+
+std::uint32_t shard_dispatcher::limit_of(time_point now, std::size_t replica)
+{
+    replica_state& state = m_replicas[replica];
+    if (state.draining)
+        return 0;
+    const std::uint32_t most = slots_of(replica) + m_options.limits.waiting;
+    const std::uint32_t allowed = std::min(m_allowed, most);
+    return m_ignore_health ? allowed : state.health.limit(now, allowed);
+}
+
+// Expected time until a new attempt at the replica is answered, in microseconds.
+double shard_dispatcher::score(std::size_t replica) const
+{
+    const replica_state& state = m_replicas[replica];
+    const double latency =
+        state.latency.is_empty() ? m_mean_latency.mean_us() : state.latency.mean_us();
+    const double rounds = static_cast<double>(state.in_flight + 1) / slots_of(replica);
+    return std::max(1.0, latency) * std::max(1.0, rounds) + 0.01 * state.in_flight;
+}
+
+bool shard_dispatcher::holds_version(std::size_t replica, index_version version) const
+{
+    const replica_state& state = m_replicas[replica];
+    // An unreported replica may hold it; asking it costs little, for it refuses without running.
+    return !state.has_reported ||
+           std::find(state.versions.begin(), state.versions.end(), version) != state.versions.end();
+}
+
+std::optional<std::size_t> shard_dispatcher::choose(time_point now, const pending& entry,
+                                                    bool idle_only)
+{
+    std::optional<std::size_t> best;
+    double best_score = 0;
+    for (std::size_t i = 0; i < m_replicas.size(); ++i)
+    {
+        if ((entry.excluded >> i & 1U) != 0 || !holds_version(i, entry.request.version))
+            continue;
+        const std::uint32_t limit =
+            idle_only ? std::min(limit_of(now, i), slots_of(i)) : limit_of(now, i);
+        if (m_replicas[i].in_flight >= limit)
+            continue;
+        const double each_score = score(i);
+        if (best && each_score >= best_score)
+            continue;
+        best = i;
+        best_score = each_score;
+    }
+    return best;
+}
+
+// True when waiting cannot help: every replica is excluded, leaves, or lacks the version.
+bool shard_dispatcher::is_hopeless(const pending& entry) const
+{
+    for (std::size_t i = 0; i < m_replicas.size(); ++i)
+        if ((entry.excluded >> i & 1U) == 0 && !m_replicas[i].draining &&
+            holds_version(i, entry.request.version))
+            return false;
+    return true;
+}
+
+// Ejection must not take away the shard: when it leaves too few replicas, failures are more
+// likely to be this host's view than the replicas' state, and all are used again.
+void shard_dispatcher::enforce_min_in_use(time_point now)
+{
+    std::size_t in_use = 0;
+    std::size_t present = 0;
+    for (replica_state& each : m_replicas)
+    {
+        if (each.draining)
+            continue;
+        ++present;
+        if (each.health.state(now) != health_state::ejected)
+            ++in_use;
+    }
+    m_ignore_health =
+        static_cast<double>(in_use) < m_options.min_in_use * static_cast<double>(present) - 0.5;
+}
+
+duration shard_dispatcher::hedge_delay() const
+{
+    return std::max(m_hedge_latency.value(), duration{1});
+}
+
+bool shard_dispatcher::may_hedge(time_point now, const attempt& each, const pending& entry) const
+{
+    return !each.is_abandoned && !entry.is_hedged && entry.request.idempotent &&
+           entry.attempts < m_options.max_attempts && now - each.started >= hedge_delay() &&
+           entry.request.deadline > now;
+}
+
+// Hedges onto idle slots only, while nothing is queued and the budget lasts; the oldest first.
+void shard_dispatcher::hedge(time_point now)
+{
+    for (std::size_t i = 0; i < m_attempts.size() && m_queue.empty(); ++i)
+    {
+        const attempt each = m_attempts[i];
+        const auto found = m_pending.find(each.owner.value());
+        if (each.id.value() == 0 || found == m_pending.end() ||
+            !may_hedge(now, each, found->second))
+            continue;
+        pending probe = found->second;
+        probe.excluded |= std::uint64_t{1} << each.replica;
+        const auto replica = choose(now, probe, true);
+        if (!replica)
+            continue;
+        if (!m_budget.try_spend())
+            return;
+        found->second.is_hedged = true;
+        ++m_counts.hedges;
+        start_attempt(now, found->second, *replica, true);
+    }
+}
+
+double shard_dispatcher::utilisation() const
+{
+    std::uint32_t slots = 0;
+    for (std::size_t i = 0; i < m_replicas.size(); ++i)
+        if (!m_replicas[i].draining)
+            slots += slots_of(i);
+    return slots == 0 ? 1.0 : static_cast<double>(m_in_flight) / slots;
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/net/http_message.hpp
@@ -0,0 +1,63 @@
+// Plain HTTP messages between the adapters and the rest, without a library's types.
+
+#ifndef TANAGERSPUR_NET_HTTP_MESSAGE_HPP
+#define TANAGERSPUR_NET_HTTP_MESSAGE_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tanagerspur
+{
+
+// Header fields by lower-case name.
+using http_fields = std::map<std::string, std::string>;
+
+// A call as it arrives or is to be sent.
+struct http_call
+{
+    std::string method = "GET";
+    // Path without the query.
+    std::string path;
+    // Decoded parameters of the query.
+    std::map<std::string, std::string> parameters;
+    http_fields fields;
+    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
+    // Number of the connection that a server took the call from.
+    std::uint64_t connection = 0;
+
+    // The field's value, or an empty text.
+    const std::string& field(const std::string& name) const;
+    // The field as a number; nothing when it is absent or no number.
+    std::optional<long long> number_field(const std::string& name) const;
+    std::optional<long long> number_parameter(const std::string& name) const;
+};
+
+struct http_reply
+{
+    int status = 200;
+    std::string content_type = "application/json";
+    http_fields fields;
+    std::string body;
+
+    const std::string& field(const std::string& name) const;
+    std::optional<long long> number_field(const std::string& name) const;
+};
+
+// An error reply as JSON {"error": message}.
+http_reply error_reply(int status, const std::string& message);
+
+// Splits "path?name=value&..." into a call; false when an escape is malformed.
+bool parse_target(const std::string& target, http_call& call);
+
+// Escapes a text for use in a query.
+std::string escape_parameter(const std::string& text);
+
+// Parses a whole decimal number; nothing when the text holds anything else.
+std::optional<long long> parse_number(const std::string& text);
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/ownership/planner.cpp
@@ -0,0 +1,233 @@
+#include "tanagerspur/ownership/assignment.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+// Chooses hosts by the number of places they hold, so that load spreads and the choice is the
+// same wherever it is made.
+class place_counter
+{
+public:
+    place_counter(const assignment_table& table, const std::vector<candidate_host>& candidates)
+        : m_candidates(candidates)
+    {
+        for (const auto& [key, row] : table.rows)
+        {
+            ++m_owned[row.owner];
+            ++m_deputized[row.deputy];
+        }
+    }
+
+    const candidate_host* least_owner() const
+    {
+        return least(
+            [this](const candidate_host& host) {
+                return std::pair{count(m_owned, host.id), count(m_deputized, host.id)};
+            },
+            [](const candidate_host&) { return true; });
+    }
+
+    // The host with the fewest places, of another zone than the owner's if there is one.
+    const candidate_host* least_deputy(const host_id& owner) const
+    {
+        const auto cost = [this](const candidate_host& host) {
+            return std::pair{count(m_deputized, host.id), count(m_owned, host.id)};
+        };
+        const zone_id zone = zone_of(owner);
+        const candidate_host* other_zone = least(cost, [&](const candidate_host& host)
+                                                 { return host.id != owner && host.zone != zone; });
+        if (other_zone != nullptr)
+            return other_zone;
+        return least(cost, [&](const candidate_host& host) { return host.id != owner; });
+    }
+
+    void add_owner(const host_id& id) { ++m_owned[id]; }
+    void add_deputy(const host_id& id) { ++m_deputized[id]; }
+    std::size_t owned(const host_id& id) const { return count(m_owned, id); }
+
+private:
+    using counts = std::map<host_id, std::size_t>;
+
+    static std::size_t count(const counts& places, const host_id& id)
+    {
+        const auto found = places.find(id);
+        return found == places.end() ? 0 : found->second;
+    }
+
+    zone_id zone_of(const host_id& id) const
+    {
+        for (const candidate_host& each : m_candidates)
+            if (each.id == id)
+                return each.zone;
+        return {};
+    }
+
+    template<class Cost, class Allowed>
+    const candidate_host* least(Cost cost, Allowed allowed) const
+    {
+        const candidate_host* best = nullptr;
+        for (const candidate_host& each : m_candidates)
+        {
+            if (!allowed(each))
+                continue;
+            if (best == nullptr ||
+                std::pair{cost(each), each.id} < std::pair{cost(*best), best->id})
+                best = &each;
+        }
+        return best;
+    }
+
+    const std::vector<candidate_host>& m_candidates;
+    counts m_owned;
+    counts m_deputized;
+};
+
+bool contains(const std::vector<host_id>& hosts, const host_id& id)
+{
+    return std::find(hosts.begin(), hosts.end(), id) != hosts.end();
+}
+
+bool is_candidate(const std::vector<candidate_host>& hosts, const host_id& id)
+{
+    return std::any_of(hosts.begin(), hosts.end(),
+                       [&](const candidate_host& each) { return each.id == id; });
+}
+
+// The table with the next epoch, or nothing when no row differs.
+std::optional<assignment_table> finish(const assignment_table& present, assignment_table next)
+{
+    if (next.rows == present.rows)
+        return std::nullopt;
+    next.current = epoch{present.current.value() + 1};
+    for (auto& [key, row] : next.rows)
+    {
+        const shard_assignment* before = present.find(key);
+        if (before == nullptr || *before != row)
+            row.since = next.current;
+    }
+    return next;
+}
+
+void place_row(shard_assignment& row, place_counter& places)
+{
+    const candidate_host* owner = places.least_owner();
+    if (owner == nullptr)
+        return;
+    row.owner = owner->id;
+    places.add_owner(owner->id);
+    const candidate_host* deputy = places.least_deputy(owner->id);
+    row.deputy = deputy != nullptr ? deputy->id : host_id{};
+    if (deputy != nullptr)
+        places.add_deputy(deputy->id);
+}
+
+// Replaces what is gone from a row. A gone owner with an acting deputy is left to the deputy.
+void repair_row(shard_assignment& row, const planner_input& input, place_counter& places)
+{
+    const bool owner_acts = contains(input.may_act, row.owner);
+    const bool deputy_acts = contains(input.may_act, row.deputy);
+    if (contains(input.dead, row.predecessor))
+        row.predecessor = {};
+    if (!owner_acts && !deputy_acts)
+    {
+        const bool are_dead = contains(input.dead, row.owner) &&
+                              (row.deputy.value().empty() || contains(input.dead, row.deputy));
+        row.predecessor = are_dead ? host_id{} : row.owner;
+        place_row(row, places);
+    }
+    else if (owner_acts && !deputy_acts && is_candidate(input.candidates, row.owner))
+    {
+        const candidate_host* deputy = places.least_deputy(row.owner);
+        const host_id id = deputy != nullptr ? deputy->id : host_id{};
+        if (id == row.deputy)
+            return;
+        const bool was_dead = row.deputy.value().empty() || contains(input.dead, row.deputy);
+        if (!was_dead && row.predecessor.value().empty())
+            row.predecessor = row.deputy;
+        row.deputy = id;
+        places.add_deputy(id);
+    }
+}
+
+} // namespace
+
+std::optional<assignment_table> plan(const assignment_table& present, const planner_input& input)
+{
+    if (input.candidates.empty())
+        return std::nullopt;
+    assignment_table next{.current = present.current, .rows = {}};
+    for (const shard_key& key : input.shards)
+        if (const shard_assignment* row = present.find(key))
+            next.rows.emplace(key, *row);
+    place_counter places(next, input.candidates);
+    for (const shard_key& key : input.shards)
+    {
+        const auto [found, is_new] = next.rows.try_emplace(key);
+        if (is_new)
+            place_row(found->second, places);
+        else
+            repair_row(found->second, input, places);
+    }
+    return finish(present, std::move(next));
+}
+
+std::optional<assignment_table> plan_takeover(const assignment_table& present,
+                                              const host_id& lost_owner, const host_id& deputy,
+                                              bool owner_is_dead)
+{
+    assignment_table next = present;
+    for (auto& [key, row] : next.rows)
+    {
+        if (row.owner != lost_owner || row.deputy != deputy)
+            continue;
+        std::swap(row.owner, row.deputy);
+        row.predecessor = owner_is_dead ? host_id{} : lost_owner;
+    }
+    return finish(present, std::move(next));
+}
+
+std::optional<assignment_table> plan_handover(const assignment_table& present,
+                                              const host_id& leaving,
+                                              const std::vector<candidate_host>& candidates)
+{
+    assignment_table next = present;
+    for (auto& [key, row] : next.rows)
+    {
+        if (row.owner != leaving || !is_candidate(candidates, row.deputy))
+            continue;
+        std::swap(row.owner, row.deputy);
+        row.predecessor = leaving;
+    }
+    return finish(present, std::move(next));
+}
+
+std::optional<assignment_table> plan_rebalance(const assignment_table& present,
+                                               const host_id& owner,
+                                               const std::vector<candidate_host>& candidates)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    const place_counter places(present, candidates);
+    const std::size_t share = (present.rows.size() + candidates.size() - 1) / candidates.size();
+    if (places.owned(owner) <= share)
+        return std::nullopt;
+    assignment_table next = present;
+    for (auto& [key, row] : next.rows)
+    {
+        if (row.owner != owner || !is_candidate(candidates, row.deputy) ||
+            places.owned(row.deputy) + 1 > share)
+            continue;
+        std::swap(row.owner, row.deputy);
+        row.predecessor = owner;
+        return finish(present, std::move(next));
+    }
+    return std::nullopt;
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/query/coordinator.cpp
@@ -0,0 +1,350 @@
+#include "tanagerspur/query/coordinator.hpp"
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+// Ends that say only that the sub-request came to the wrong host.
+bool is_misrouted(reason why)
+{
+    return why == reason::not_owner || why == reason::owner_unreachable ||
+           why == reason::no_owner || why == reason::host_leaving;
+}
+
+} // namespace
+
+coordinator::coordinator(coordinator_options options, query_actions& actions)
+    : m_options(options)
+    , m_actions(actions)
+{
+}
+
+void coordinator::set_manifest(std::shared_ptr<const manifest> present)
+{
+    m_manifest = std::move(present);
+    m_catalog.retain(*m_manifest);
+    for (const auto& [id, each] : m_manifest->services)
+        m_budgets.try_emplace(id, each.limits.extra_load_budget)
+            .first->second.set_fraction(each.limits.extra_load_budget);
+}
+
+void coordinator::submit(time_point now, query_id id, query wanted)
+{
+    const service* target = m_manifest != nullptr ? m_manifest->find(wanted.service) : nullptr;
+    if (m_manifest == nullptr)
+        return refuse(id, wanted, reason::no_configuration, "this host has no configuration yet");
+    if (target == nullptr)
+        return refuse(id, wanted, reason::unknown_service,
+                      "unknown service \"" + wanted.service.value() + "\"");
+    if (!admit(now, id, wanted, *target))
+        return;
+    const auto pinned =
+        wanted.key ? m_catalog.choose_for_key(*target, *wanted.key) : m_catalog.choose(*target);
+    if (!pinned)
+        return refuse(id, wanted, reason::version_unavailable,
+                      "no version of the index is known to be served");
+    if (now + m_catalog.longest_wait(now, *target, pinned->layout) >=
+        now + duration{static_cast<duration::rep>(
+                  m_options.max_wait_share * static_cast<double>((wanted.deadline - now).count()))})
+        return refuse(id, wanted, reason::overloaded,
+                      "the shards' queues are too long for the deadline");
+    ++m_counts.admitted;
+    ++m_under_way[wanted.service];
+    m_deadlines.emplace(wanted.deadline, id);
+    running_query& running = m_queries[id];
+    running.wanted = std::move(wanted);
+    start(now, id, running, *pinned);
+}
+
+// A full host keeps a place for each service by its weight.
+bool coordinator::admit(time_point now, query_id id, const query& wanted, const service& target)
+{
+    if (wanted.deadline <= now + m_options.answer_margin)
+    {
+        refuse(id, wanted, reason::deadline_passed, "the deadline is too near");
+        return false;
+    }
+    std::uint32_t weights = 0;
+    for (const auto& [service, each] : m_manifest->services)
+        weights += each.limits.weight;
+    const std::size_t share =
+        std::max<std::size_t>(1, m_options.max_queries * target.limits.weight / weights);
+    const bool is_busy = m_queries.size() * 2 >= m_options.max_queries;
+    const bool is_over_share = m_under_way[wanted.service] >= share;
+    if (m_queries.size() < m_options.max_queries && !(is_busy && is_over_share))
+        return true;
+    refuse(id, wanted, reason::overloaded, "this host has too many queries under way");
+    return false;
+}
+
+void coordinator::start(time_point now, query_id id, running_query& running, const snapshot& pinned)
+{
+    running.pinned = pinned;
+    running.tried.push_back(pinned);
+    running.parts.clear();
+    const layout* part_layout = m_manifest->find(running.wanted.service)->find(pinned.layout);
+    const std::size_t shard_count = part_layout->shards.size();
+    if (running.wanted.key)
+        running.parts.push_back({.number = shard_of_key(*running.wanted.key, shard_count)});
+    else
+        for (std::uint32_t number = 0; number < shard_count; ++number)
+            running.parts.push_back({.number = shard_number{number}});
+    running.open_parts = running.parts.size();
+    auto& budget = m_budgets.at(running.wanted.service);
+    for (std::size_t index = 0; index < running.parts.size(); ++index)
+    {
+        budget.earn(0);
+        send_part(id, running, index);
+    }
+    (void)now;
+}
+
+shard_key coordinator::key_of(const running_query& running, const part& each) const
+{
+    return {
+        .service = running.wanted.service, .layout = running.pinned.layout, .number = each.number};
+}
+
+void coordinator::send_part(query_id id, running_query& running, std::size_t index)
+{
+    part& each = running.parts[index];
+    each.sub = sub_request_id{m_next_sub++};
+    ++m_counts.sub_requests;
+    m_subs[each.sub.value()] = {.query = id, .part = index};
+    m_actions.send(key_of(running, each),
+                   {.id = each.sub,
+                    .version = running.pinned.version,
+                    .deadline = running.wanted.deadline - m_options.answer_margin,
+                    .idempotent = running.wanted.idempotent,
+                    .request = running.wanted.request,
+                    .body = running.wanted.body});
+}
+
+void coordinator::on_result(time_point now, const shard_key& shard, sub_request_id id,
+                            const sub_result& result)
+{
+    const auto owner = m_subs.find(id.value());
+    if (owner == m_subs.end())
+    {
+        ++m_counts.unmatched_results;
+        return;
+    }
+    const sub_owner found = owner->second;
+    running_query& running = m_queries.at(found.query);
+    part& each = running.parts[found.part];
+    const bool is_foreign =
+        key_of(running, each) != shard ||
+        (result.outcome == verdict::done && result.version != running.pinned.version);
+    if (is_foreign)
+    {
+        ++m_counts.unmatched_results;
+        return;
+    }
+    m_subs.erase(owner);
+    if (result.outcome == verdict::may_have_run)
+        each.may_have_run = true;
+    if (result.outcome != verdict::done)
+    {
+        if (may_reroute(now, running, each, result))
+            return schedule_route(now, found.query, running, found.part);
+        if (may_restart(now, running, result) && restart(now, found.query, running))
+            return;
+    }
+    end_part(found.query, running, found.part, result);
+}
+
+bool coordinator::may_reroute(time_point now, const running_query& running, const part& ended,
+                              const sub_result& result)
+{
+    if (ended.routes >= m_options.max_routes ||
+        now + m_options.answer_margin >= running.wanted.deadline)
+        return false;
+    if (result.outcome == verdict::not_run)
+        return is_misrouted(result.why);
+    return running.wanted.idempotent && result.why == reason::link_lost &&
+           m_budgets.at(running.wanted.service).try_spend();
+}
+
+void coordinator::schedule_route(time_point now, query_id id, running_query& running,
+                                 std::size_t index)
+{
+    part& each = running.parts[index];
+    const duration pause = m_options.first_route_pause * (duration::rep{1} << each.routes);
+    ++each.routes;
+    ++m_counts.rerouted;
+    each.sub = sub_request_id{0};
+    m_retries.emplace(now + pause, retry{.query = id, .part = index, .routes = each.routes});
+}
+
+// The pinned version has gone from a shard. Rows of another version must not be mixed in, so the
+// whole query starts again on another snapshot, if the deadline and the budget allow.
+bool coordinator::may_restart(time_point now, const running_query& running,
+                              const sub_result& result)
+{
+    if (result.why != reason::version_unavailable || running.tried.size() > 1 || running.wanted.key)
+        return false;
+    const bool is_safe =
+        running.wanted.idempotent ||
+        std::all_of(running.parts.begin(), running.parts.end(),
+                    [](const part& each)
+                    { return each.is_ended && each.result.outcome == verdict::not_run; });
+    const duration left = running.wanted.deadline - now;
+    return is_safe && left > m_options.answer_margin * 4;
+}
+
+bool coordinator::restart(time_point now, query_id id, running_query& running)
+{
+    const service* target = m_manifest->find(running.wanted.service);
+    const auto pinned = target != nullptr ? m_catalog.choose(*target, running.tried) : std::nullopt;
+    if (!pinned || pinned->version < running.pinned.version ||
+        !m_budgets.at(running.wanted.service).try_spend())
+        return false;
+    ++m_counts.restarted;
+    drop_subs(running);
+    start(now, id, running, *pinned);
+    return true;
+}
+
+void coordinator::end_part(query_id id, running_query& running, std::size_t index,
+                           const sub_result& result)
+{
+    part& each = running.parts[index];
+    if (each.is_ended)
+        return;
+    each.is_ended = true;
+    each.result = result;
+    if (each.may_have_run && result.outcome == verdict::not_run)
+        each.result.outcome = verdict::may_have_run;
+    if (--running.open_parts == 0)
+        finish(id, running);
+}
+
+void coordinator::on_timer(time_point now)
+{
+    while (!m_retries.empty() && m_retries.begin()->first <= now)
+    {
+        const retry due = m_retries.begin()->second;
+        m_retries.erase(m_retries.begin());
+        const auto found = m_queries.find(due.query);
+        if (found == m_queries.end() || due.part >= found->second.parts.size())
+            continue;
+        const part& each = found->second.parts[due.part];
+        if (!each.is_ended && each.routes == due.routes && each.sub.value() == 0)
+            send_part(due.query, found->second, due.part);
+    }
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now + m_options.answer_margin / 2)
+        expire(m_deadlines.begin()->second);
+}
+
+void coordinator::expire(query_id id)
+{
+    running_query& running = m_queries.at(id);
+    for (part& each : running.parts)
+    {
+        if (each.is_ended)
+            continue;
+        // A part that waits for its next route was last refused as not run.
+        const bool was_sent = each.sub.value() != 0;
+        each.is_ended = true;
+        each.result = {.outcome =
+                           was_sent || each.may_have_run ? verdict::may_have_run : verdict::not_run,
+                       .why = reason::deadline_passed,
+                       .message = "the deadline passed before the shard answered"};
+    }
+    finish(id, running);
+}
+
+void coordinator::finish(query_id id, running_query& running)
+{
+    const answer made = make_answer(running);
+    if (made.outcome != verdict::done)
+        ++m_counts.failed;
+    else if (made.missing.empty())
+        ++m_counts.done;
+    else
+        ++m_counts.partial;
+    drop_subs(running);
+    forget(id);
+    m_actions.complete(id, made);
+}
+
+answer coordinator::make_answer(const running_query& running) const
+{
+    answer made{.outcome = verdict::done,
+                .request = running.wanted.request,
+                .service = running.wanted.service,
+                .layout = running.pinned.layout,
+                .version = running.pinned.version,
+                .shards_expected = running.parts.size()};
+    verdict of_missing = verdict::not_run;
+    for (const part& each : running.parts)
+    {
+        if (each.result.outcome == verdict::done)
+        {
+            ++made.shards_answered;
+            made.rows.push_back(each.result.rows);
+            continue;
+        }
+        of_missing = combine(of_missing, each.result.outcome);
+        made.missing.push_back(
+            {.number = each.number, .outcome = each.result.outcome, .why = each.result.why});
+        made.why = each.result.why;
+        made.message = each.result.message;
+    }
+    if (made.shards_answered == 0)
+        made.outcome = of_missing;
+    else if (!running.wanted.idempotent && !made.missing.empty())
+        made.outcome = verdict::may_have_run;
+    return made;
+}
+
+void coordinator::drop_subs(running_query& running)
+{
+    for (part& each : running.parts)
+    {
+        if (each.sub.value() == 0 || m_subs.erase(each.sub.value()) == 0)
+            continue;
+        m_actions.cancel(key_of(running, each), each.sub);
+    }
+}
+
+void coordinator::abandon(query_id id)
+{
+    const auto found = m_queries.find(id);
+    if (found == m_queries.end())
+        return;
+    drop_subs(found->second);
+    forget(id);
+}
+
+void coordinator::forget(query_id id)
+{
+    const auto found = m_queries.find(id);
+    m_deadlines.erase({found->second.wanted.deadline, id});
+    --m_under_way[found->second.wanted.service];
+    m_queries.erase(found);
+}
+
+void coordinator::refuse(query_id id, const query& wanted, reason why, const std::string& message)
+{
+    ++m_counts.refused;
+    m_actions.complete(id, {.outcome = verdict::not_run,
+                            .why = why,
+                            .message = message,
+                            .request = wanted.request,
+                            .service = wanted.service});
+}
+
+time_point coordinator::next_timer() const
+{
+    time_point next = m_retries.empty() ? never : m_retries.begin()->first;
+    if (!m_deadlines.empty())
+        next = std::min(next, m_deadlines.begin()->first - m_options.answer_margin / 2);
+    return next;
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/query/coordinator.hpp
@@ -0,0 +1,195 @@
+// The coordinator of queries at an entry host: it admits a query, pins it to one snapshot, sends
+// a sub-request for each shard, collects the results and makes one answer.
+//
+// It is deterministic: time and events go in, calls of query_actions come out. Guarantees:
+//   - every query ends with exactly one answer, at its deadline at the latest, given on_timer;
+//   - all rows of an answer come from one snapshot;
+//   - a result counts once, for the query, shard and snapshot that it was asked for; any other
+//     is dropped and counted;
+//   - coverage names every shard that the answer lacks, with the reason;
+//   - not_run is answered only when no part of the query ran or can run;
+//   - a shard's part of a query that is not idempotent is sent again only after not_run.
+
+#ifndef TANAGERSPUR_QUERY_COORDINATOR_HPP
+#define TANAGERSPUR_QUERY_COORDINATOR_HPP
+
+#include "tanagerspur/dispatch/budget.hpp"
+#include "tanagerspur/dispatch/sub_request.hpp"
+#include "tanagerspur/query/version_catalog.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tanagerspur
+{
+
+// A query under way at this host.
+using query_id = detail::strong_id<struct query_tag, std::uint64_t>;
+
+struct query
+{
+    request_id request;
+    service_id service;
+    // Set for a look-up, which goes to the one shard that holds the key.
+    std::optional<std::string> key;
+    std::shared_ptr<const std::string> body;
+    time_point deadline;
+    bool idempotent = true;
+};
+
+struct missing_shard
+{
+    shard_number number;
+    verdict outcome = verdict::not_run;
+    reason why = reason::none;
+};
+
+struct answer
+{
+    verdict outcome = verdict::not_run;
+    reason why = reason::none;
+    std::string message;
+    request_id request;
+    service_id service;
+    layout_id layout;
+    index_version version;
+    std::size_t shards_expected = 0;
+    std::size_t shards_answered = 0;
+    std::vector<missing_shard> missing;
+    // One JSON array for each answering shard, in the order of shards.
+    std::vector<std::shared_ptr<const std::string>> rows;
+};
+
+// Calls may arrive from within any function of the coordinator and must not call it back.
+class query_actions
+{
+public:
+    virtual ~query_actions() = default;
+
+    // Sends a sub-request to the host that serves the shard; it ends with on_result.
+    virtual void send(const shard_key& shard, const sub_request& request) = 0;
+    // The result is no longer wanted.
+    virtual void cancel(const shard_key& shard, sub_request_id id) = 0;
+    virtual void complete(query_id id, const answer& result) = 0;
+};
+
+struct coordinator_options
+{
+    // Queries under way at once, of all services.
+    std::size_t max_queries = 10'000;
+    // Sub-requests end this long before the query's deadline, to leave time for the answer.
+    duration answer_margin = std::chrono::milliseconds{3};
+    // Tries of one shard's part at hosts that turn out not to serve it.
+    std::uint32_t max_routes = 6;
+    // Pause before such a try, doubled each time.
+    duration first_route_pause = std::chrono::milliseconds{2};
+    // Share of the time left that the owners' queues may take for a query to be admitted.
+    double max_wait_share = 0.5;
+};
+
+struct coordinator_counts
+{
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t done = 0;
+    std::uint64_t partial = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t sub_requests = 0;
+    std::uint64_t rerouted = 0;
+    std::uint64_t restarted = 0;
+    std::uint64_t unmatched_results = 0;
+};
+
+class coordinator
+{
+public:
+    coordinator(coordinator_options options, query_actions& actions);
+
+    void set_manifest(std::shared_ptr<const manifest> present);
+
+    // Starts a query. Its answer may be given before this returns.
+    void submit(time_point now, query_id id, query wanted);
+    void on_result(time_point now, const shard_key& shard, sub_request_id id,
+                   const sub_result& result);
+    // The caller has gone: sub-requests are cancelled and no answer is made.
+    void abandon(query_id id);
+    void on_timer(time_point now);
+    time_point next_timer() const;
+
+    version_catalog& catalog() { return m_catalog; }
+    std::size_t under_way() const { return m_queries.size(); }
+    const coordinator_counts& counts() const { return m_counts; }
+
+private:
+    struct part
+    {
+        shard_number number;
+        sub_request_id sub;
+        bool is_ended = false;
+        std::uint32_t routes = 0;
+        bool may_have_run = false;
+        sub_result result;
+    };
+
+    struct running_query
+    {
+        query wanted;
+        snapshot pinned;
+        std::vector<snapshot> tried;
+        std::vector<part> parts;
+        std::size_t open_parts = 0;
+    };
+
+    struct sub_owner
+    {
+        query_id query;
+        std::size_t part = 0;
+    };
+
+    struct retry
+    {
+        query_id query;
+        std::size_t part = 0;
+        std::uint32_t routes = 0;
+    };
+
+    bool admit(time_point now, query_id id, const query& wanted, const service& target);
+    void start(time_point now, query_id id, running_query& running, const snapshot& pinned);
+    void send_part(query_id id, running_query& running, std::size_t index);
+    bool may_reroute(time_point now, const running_query& running, const part& ended,
+                     const sub_result& result);
+    void schedule_route(time_point now, query_id id, running_query& running, std::size_t index);
+    bool may_restart(time_point now, const running_query& running, const sub_result& result);
+    bool restart(time_point now, query_id id, running_query& running);
+    void end_part(query_id id, running_query& running, std::size_t index, const sub_result& result);
+    void expire(query_id id);
+    void finish(query_id id, running_query& running);
+    answer make_answer(const running_query& running) const;
+    void drop_subs(running_query& running);
+    void refuse(query_id id, const query& wanted, reason why, const std::string& message);
+    void forget(query_id id);
+    shard_key key_of(const running_query& running, const part& each) const;
+
+    coordinator_options m_options;
+    query_actions& m_actions;
+    std::shared_ptr<const manifest> m_manifest;
+    version_catalog m_catalog;
+    std::map<query_id, running_query> m_queries;
+    boost::unordered_flat_map<std::uint64_t, sub_owner> m_subs;
+    std::multimap<time_point, retry> m_retries;
+    std::set<std::pair<time_point, query_id>> m_deadlines;
+    std::map<service_id, std::size_t> m_under_way;
+    std::map<service_id, extra_load_budget> m_budgets;
+    std::uint64_t m_next_sub = 1;
+    coordinator_counts m_counts;
+};
+
+} // namespace tanagerspur
+
+#endif
