--- a/stand_ins/target_stand_in.cpp
+++ b/stand_ins/target_stand_in.cpp
@@ -89,6 +89,9 @@
     ++m_counters.refused;
     http_reply reply = error_reply(503, why);
     reply.fields["Not-Run"] = why;
+    std::string& held = reply.fields["Index-Versions"];
+    for (const std::int64_t version : m_options.versions)
+        held += (held.empty() ? "" : ",") + std::to_string(version);
     respond(reply);
 }
 
--- a/tanagerspur/dispatch/attempts.cpp
+++ b/tanagerspur/dispatch/attempts.cpp
@@ -53,7 +53,9 @@
     if (entry.attempts == 1)
     {
         ++m_counts.first_attempts;
-        m_budget.earn(utilisation());
+        note_utilisation();
+        m_hedge_budget.earn(m_utilisation);
+        m_repeat_budget.earn(m_utilisation);
     }
     ++m_replicas[replica].in_flight;
     ++m_in_flight;
@@ -103,9 +105,7 @@
     {
     case attempt_end::answered:
         state.health.on_success(now);
-        state.latency.record(latency);
-        m_mean_latency.record(latency);
-        m_hedge_latency.record(latency);
+        record_latency(state, latency);
         break;
     case attempt_end::draining:
         state.draining = true;
@@ -121,7 +121,7 @@
         break;
     case attempt_end::cancelled:
         // A slow attempt that lost to its hedge still shows how slow the replica is.
-        state.latency.record(latency);
+        record_latency(state, latency);
         break;
     case attempt_end::refused:
     case attempt_end::version_missing:
@@ -129,13 +129,26 @@
     }
 }
 
-// A version that a replica refused is no longer counted on until its next report.
+// One straggler says little of its replica, so it counts in the mean as a few times the mean.
+void shard_dispatcher::record_latency(replica_state& state, duration latency)
+{
+    constexpr double most_over_mean = 4;
+    m_hedge_latency.record(latency);
+    m_mean_latency.record(latency);
+    const duration most{static_cast<duration::rep>(most_over_mean * m_mean_latency.mean_us())};
+    state.latency.record(std::min(latency, most));
+}
+
+// A refusal tells what the replica holds now, sooner than its next report.
 void shard_dispatcher::note_versions(std::size_t replica, const attempt_result& result,
                                      index_version wanted)
 {
+    if (result.end != attempt_end::version_missing)
+        return;
     replica_state& state = m_replicas[replica];
-    if (result.end == attempt_end::version_missing)
-        std::erase(state.versions, wanted);
+    if (!result.versions.empty())
+        set_versions(state, result.versions);
+    std::erase(state.versions, wanted);
 }
 
 void shard_dispatcher::resolve(time_point now, const attempt& ended, const attempt_result& result)
@@ -180,8 +193,10 @@
         return requeue(entry);
     }
     const bool may_repeat = entry.request.idempotent && has_attempts;
-    if (may_repeat && (surely_did_not_run(end) || m_budget.try_spend()))
+    const bool is_free = surely_did_not_run(end);
+    if (may_repeat && (is_free || m_repeat_budget.try_spend()))
     {
+        m_counts.repeats += is_free ? 0 : 1;
         // With no other replica left, the same one over a new connection is the only hope.
         if (is_hopeless(entry))
             entry.excluded &= ~(std::uint64_t{1} << ended.replica);
@@ -199,16 +214,20 @@
 
 void shard_dispatcher::fail(pending& entry, reason why, const std::string& message)
 {
-    finish(entry, {.outcome = entry.may_have_run ? verdict::may_have_run : verdict::not_run,
-                   .why = why,
-                   .message = message,
-                   .version = entry.request.version,
-                   .rows = {}});
+    sub_result result{.outcome = entry.may_have_run ? verdict::may_have_run : verdict::not_run,
+                      .why = why,
+                      .message = message,
+                      .version = entry.request.version,
+                      .rows = {}};
+    if (why == reason::version_unavailable)
+        result.versions = versions();
+    finish(entry, std::move(result));
 }
 
 void shard_dispatcher::finish(pending& entry, sub_result result)
 {
     result.attempts = entry.attempts;
+    result.estimated_wait = estimated_wait();
     switch (result.outcome)
     {
     case verdict::done:
--- a/tanagerspur/dispatch/budget.hpp
+++ b/tanagerspur/dispatch/budget.hpp
@@ -13,9 +13,10 @@
 class extra_load_budget
 {
 public:
-    // fraction: extra attempts per first attempt.
-    explicit extra_load_budget(double fraction)
+    // fraction: extra attempts per first attempt; tokens: extra attempts allowed at the start.
+    explicit extra_load_budget(double fraction, double tokens = 0)
         : m_fraction(fraction)
+        , m_tokens(tokens)
     {
     }
 
@@ -29,11 +30,12 @@
         m_tokens = std::min(max_tokens, m_tokens + m_fraction * fade);
     }
 
-    bool try_spend()
+    // A cost over what is left is a debt, which is earned back before anything else is spent.
+    bool try_spend(double cost = 1)
     {
         if (m_tokens < 1)
             return false;
-        m_tokens -= 1;
+        m_tokens -= cost;
         return true;
     }
 
@@ -45,7 +47,7 @@
     static constexpr double max_tokens = 10;
 
     double m_fraction;
-    double m_tokens = 0;
+    double m_tokens;
 };
 
 } // namespace tanagerspur
--- a/tanagerspur/dispatch/replica_choice.cpp
+++ b/tanagerspur/dispatch/replica_choice.cpp
@@ -106,6 +106,7 @@
 // Hedges onto idle slots only, while nothing is queued and the budget lasts; the oldest first.
 void shard_dispatcher::hedge(time_point now)
 {
+    m_hedges_considered = now;
     for (std::size_t i = 0; i < m_attempts.size() && m_queue.empty(); ++i)
     {
         const attempt each = m_attempts[i];
@@ -118,7 +119,7 @@
         const auto replica = choose(now, probe, true);
         if (!replica)
             continue;
-        if (!m_budget.try_spend())
+        if (!m_hedge_budget.try_spend())
             return;
         found->second.is_hedged = true;
         ++m_counts.hedges;
@@ -126,13 +127,16 @@
     }
 }
 
-double shard_dispatcher::utilisation() const
+// A running mean of the share of slots in use, over first attempts.
+void shard_dispatcher::note_utilisation()
 {
+    constexpr double weight = 0.01;
     std::uint32_t slots = 0;
     for (std::size_t i = 0; i < m_replicas.size(); ++i)
         if (!m_replicas[i].draining)
             slots += slots_of(i);
-    return slots == 0 ? 1.0 : static_cast<double>(m_in_flight) / slots;
+    const double now = slots == 0 ? 1.0 : std::min(1.0, static_cast<double>(m_in_flight) / slots);
+    m_utilisation += weight * (now - m_utilisation);
 }
 
 } // namespace tanagerspur
--- a/tanagerspur/dispatch/shard_dispatcher.cpp
+++ b/tanagerspur/dispatch/shard_dispatcher.cpp
@@ -8,10 +8,21 @@
 namespace tanagerspur
 {
 
+namespace
+{
+
+// Part of the extra load that hedges may take; the rest is for repeats of lost attempts, which
+// coverage depends on and which hedges must not use up.
+constexpr double hedge_share = 0.9;
+constexpr double repeat_burst = 10;
+
+} // namespace
+
 shard_dispatcher::shard_dispatcher(dispatcher_options options, dispatch_actions& actions)
     : m_options(std::move(options))
     , m_actions(actions)
-    , m_budget(m_options.limits.extra_load_budget)
+    , m_hedge_budget(m_options.limits.extra_load_budget * hedge_share)
+    , m_repeat_budget(m_options.limits.extra_load_budget * (1 - hedge_share), repeat_burst)
     , m_hedge_latency(m_options.hedge_quantile)
     , m_next_attempt(m_options.first_attempt.value())
 {
@@ -95,14 +106,20 @@
                                       const load_report& report)
 {
     replica_state& state = m_replicas[replica];
-    state.has_reported = true;
     state.reported_slots = report.slots;
-    state.versions = report.versions;
-    std::sort(state.versions.begin(), state.versions.end(), std::greater<>{});
+    set_versions(state, report.versions);
     state.draining = report.draining;
     pump(now);
 }
 
+void shard_dispatcher::set_versions(replica_state& state,
+                                    const std::vector<index_version>& versions)
+{
+    state.has_reported = true;
+    state.versions = versions;
+    std::sort(state.versions.begin(), state.versions.end(), std::greater<>{});
+}
+
 void shard_dispatcher::set_draining(time_point now, std::size_t replica, bool draining)
 {
     m_replicas[replica].draining = draining;
@@ -132,7 +149,8 @@
 void shard_dispatcher::set_limits(time_point now, const service_limits& limits)
 {
     m_options.limits = limits;
-    m_budget.set_fraction(limits.extra_load_budget);
+    m_hedge_budget.set_fraction(limits.extra_load_budget * hedge_share);
+    m_repeat_budget.set_fraction(limits.extra_load_budget * (1 - hedge_share));
     pump(now);
 }
 
@@ -183,7 +201,7 @@
     time_point next = never;
     if (!m_queue.empty())
         next = m_queue.begin()->first.deadline;
-    const bool can_hedge = m_queue.empty() && m_budget.tokens() >= 1;
+    const bool can_hedge = m_queue.empty() && m_hedge_budget.tokens() >= 1;
     for (const attempt& each : m_attempts)
     {
         if (each.id.value() == 0)
@@ -191,9 +209,10 @@
         if (!can_hedge || each.is_abandoned || each.is_hedge)
             continue;
         const auto found = m_pending.find(each.owner.value());
-        if (found != m_pending.end() && !found->second.is_hedged &&
+        const time_point due = each.started + hedge_delay();
+        if (due > m_hedges_considered && found != m_pending.end() && !found->second.is_hedged &&
             found->second.request.idempotent)
-            next = std::min(next, each.started + hedge_delay());
+            next = std::min(next, due);
     }
     return next;
 }
--- a/tanagerspur/dispatch/shard_dispatcher.hpp
+++ b/tanagerspur/dispatch/shard_dispatcher.hpp
@@ -53,7 +53,7 @@
     std::size_t replica_count = 1;
     health_options health;
     // Quantile of the latency after which an attempt may be hedged.
-    double hedge_quantile = 0.95;
+    double hedge_quantile = 0.98;
     // Replicas that ejection leaves in use at least, as a share of all.
     double min_in_use = 0.5;
     // Attempts of one sub-request, hedges included.
@@ -70,6 +70,8 @@
     std::uint64_t hedges = 0;
     std::uint64_t hedge_wins = 0;
     std::uint64_t retries = 0;
+    // Retries after an attempt that may have run: extra load, like hedges.
+    std::uint64_t repeats = 0;
     std::uint64_t done = 0;
     std::uint64_t not_run = 0;
     std::uint64_t may_have_run = 0;
@@ -127,7 +129,7 @@
     {
         std::uint32_t in_flight = 0;
         replica_health health;
-        mean_estimator latency{0.1};
+        mean_estimator latency{0.05};
         bool draining = false;
         std::uint32_t reported_slots = 0;
         bool has_reported = false;
@@ -194,7 +196,9 @@
     void fail(pending& entry, reason why, const std::string& message);
     void finish(pending& entry, sub_result result);
     void abandon_attempts(sub_request_id id);
-    double utilisation() const;
+    void note_utilisation();
+    static void set_versions(replica_state& state, const std::vector<index_version>& versions);
+    void record_latency(replica_state& state, duration latency);
 
     dispatcher_options m_options;
     dispatch_actions& m_actions;
@@ -202,9 +206,13 @@
     std::vector<attempt> m_attempts;
     pending_map m_pending;
     std::map<queue_key, sub_request_id> m_queue;
-    extra_load_budget m_budget;
+    extra_load_budget m_hedge_budget;
+    extra_load_budget m_repeat_budget;
     mean_estimator m_mean_latency{0.02};
+    double m_utilisation = 0;
     quantile_estimator m_hedge_latency;
+    // Hedges that were due by then have been considered; a result may make room for them later.
+    time_point m_hedges_considered = time_point::min();
     std::uint32_t m_allowed = 0;
     std::uint32_t m_in_flight = 0;
     std::uint64_t m_next_attempt;
--- a/tanagerspur/dispatch/sub_request.hpp
+++ b/tanagerspur/dispatch/sub_request.hpp
@@ -35,6 +35,10 @@
     index_version version;
     std::shared_ptr<const std::string> rows;
     std::uint32_t attempts = 0;
+    // The owner's estimate of the wait in its queue when this ended.
+    duration estimated_wait{0};
+    // The versions that the shard can serve, told when the wanted one is unavailable.
+    std::vector<index_version> versions;
 };
 
 // How one attempt at a replica ended.
@@ -56,6 +60,8 @@
     std::string message;
     index_version version;
     std::shared_ptr<const std::string> rows;
+    // The versions that the replica holds, when it refused for lack of one.
+    std::vector<index_version> versions;
     // The connection had carried calls before, so the loss may be the connection's alone.
     bool reused_connection = false;
 };
--- a/tanagerspur/host/core_routing.cpp
+++ b/tanagerspur/host/core_routing.cpp
@@ -135,6 +135,9 @@
     message.set_reason(static_cast<std::uint32_t>(result.why));
     message.set_message(result.message);
     message.set_attempts(result.attempts);
+    message.set_estimated_wait_us(static_cast<std::uint64_t>(result.estimated_wait.count()));
+    for (const index_version version : result.versions)
+        message.add_versions(version.value());
     if (result.rows != nullptr)
         message.set_rows(*result.rows);
 }
@@ -164,7 +167,11 @@
                       .message = message.message(),
                       .version = index_version{message.version()},
                       .rows = {},
-                      .attempts = message.attempts()};
+                      .attempts = message.attempts(),
+                      .estimated_wait =
+                          duration{static_cast<duration::rep>(message.estimated_wait_us())}};
+    for (const std::uint64_t version : message.versions())
+        result.versions.push_back(index_version{version});
     if (result.outcome == verdict::done)
         result.rows = std::make_shared<const std::string>(message.rows());
     deliver(sub.origin, sub.shard, result);
--- a/tanagerspur/host/core_state.cpp
+++ b/tanagerspur/host/core_state.cpp
@@ -18,7 +18,7 @@
 constexpr duration first_backoff = std::chrono::milliseconds{250};
 constexpr duration longest_backoff = std::chrono::seconds{10};
 constexpr std::uint32_t max_backoff_doublings = 6;
-constexpr duration evidence_interval = std::chrono::milliseconds{700};
+constexpr duration evidence_interval = std::chrono::milliseconds{500};
 constexpr duration min_list_interval = std::chrono::seconds{2};
 // Keeps the fleet's list calls under two hundred a second, whatever its size.
 constexpr duration list_interval_per_host = std::chrono::milliseconds{5};
@@ -253,9 +253,16 @@
 void host_core::write_assignment(const assignment_table& table)
 {
     m_writing = true;
+    const time_point sent = m_now;
     m_environment.store().write(assignment_key, m_assignment_version, serialize(table),
-                                [this, table](const store_result& result)
-                                { on_written(table, result); });
+                                [this, table, sent](const store_result& result)
+                                {
+                                    on_written(table, result);
+                                    // What was just written stood when it was sent or later.
+                                    if (result.status == store_status::ok)
+                                        m_tenure.on_evidence(sent, table.current);
+                                    m_shards.apply_shares(m_now);
+                                });
 }
 
 void host_core::on_written(const assignment_table& table, const store_result& result)
--- a/tanagerspur/host/host_core.cpp
+++ b/tanagerspur/host/host_core.cpp
@@ -165,6 +165,9 @@
 void host_core::on_event(const link_lost& event)
 {
     fail_remote_subs(event.peer);
+    // A process that ended breaks its streams; its port tells whether it did.
+    if (const peer* lost = m_peers.find(event.peer))
+        m_environment.probe(lost->id, lost->address);
     std::erase_if(m_forwarded,
                   [&](const auto& entry)
                   {
@@ -208,6 +211,8 @@
     m_peers.on_refused(event.sent, event.host);
     m_tenure.on_death(event.sent, event.host);
     fail_remote_subs(event.host);
+    m_next_plan = m_now;
+    m_next_tick = m_now;
 }
 
 void host_core::on_event(const drain_wanted& /*event*/)
--- a/tanagerspur/host/target_protocol.cpp
+++ b/tanagerspur/host/target_protocol.cpp
@@ -1,5 +1,6 @@
 // Reading of what targets answer. Nothing in an answer is trusted beyond its checked shape.
 
+#include "tanagerspur/common/ini.hpp"
 #include "tanagerspur/host/target_pool.hpp"
 
 #include <boost/json/parse.hpp>
@@ -11,6 +12,7 @@
 {
 
 constexpr int status_ok = 200;
+constexpr std::size_t max_versions = 16;
 
 // A refusal carries the field "not-run", which is the target's proof.
 attempt_end read_refusal(const std::string& why)
@@ -32,6 +34,16 @@
     return static_cast<std::uint32_t>(found->as_int64());
 }
 
+// The versions of a refusal, separated by commas.
+std::vector<index_version> read_versions(const std::string& text)
+{
+    std::vector<index_version> versions;
+    for (const std::string& part : split_list(text, ','))
+        if (const auto number = parse_number(part); number && versions.size() < max_versions)
+            versions.push_back(index_version{static_cast<std::uint64_t>(*number)});
+    return versions;
+}
+
 // Parts of an answer are joined as text later, so each must be a whole array by itself.
 bool is_array(const std::string& text)
 {
@@ -51,7 +63,11 @@
     const http_reply& reply = outcome.reply;
     const std::string& refusal = reply.field("not-run");
     if (!refusal.empty())
-        return {.end = read_refusal(refusal), .message = "the target refused: " + refusal};
+        return {.end = read_refusal(refusal),
+                .message = "the target refused: " + refusal,
+                .version = {},
+                .rows = {},
+                .versions = read_versions(reply.field("index-versions"))};
     if (reply.field("cancelled") == "true")
         return {.end = attempt_end::cancelled, .message = "the target stopped the work"};
     const auto version = reply.number_field("index-version");
@@ -67,7 +83,6 @@
 
 std::optional<load_report> parse_load_report(const std::string& text)
 {
-    constexpr std::size_t max_versions = 16;
     boost::json::error_code error;
     const boost::json::value parsed = boost::json::parse(text, error);
     const auto* object = error ? nullptr : parsed.if_object();
--- a/tanagerspur/ownership/tenure.hpp
+++ b/tanagerspur/ownership/tenure.hpp
@@ -43,7 +43,7 @@
     // How long a deputy's grant lasts at the owner, from when the owner asked.
     duration grant_period = std::chrono::milliseconds{450};
     // How long a consistent read of the store shows that the epoch stands.
-    duration evidence_period = std::chrono::seconds{3};
+    duration evidence_period = std::chrono::seconds{2};
     // A host that hears from nobody for this long stops using any capacity.
     duration isolation_period = std::chrono::seconds{10};
     // Longest time of one attempt at a replica: what was sent may be in flight that long.
--- a/tanagerspur/query/coordinator.cpp
+++ b/tanagerspur/query/coordinator.cpp
@@ -47,9 +47,9 @@
     if (!pinned)
         return refuse(id, wanted, reason::version_unavailable,
                       "no version of the index is known to be served");
-    if (now + m_catalog.longest_wait(now, *target, pinned->layout) >=
-        now + duration{static_cast<duration::rep>(
-                  m_options.max_wait_share * static_cast<double>((wanted.deadline - now).count()))})
+    const double time_left = static_cast<double>((wanted.deadline - now).count());
+    const duration longest_wait = m_catalog.longest_wait(now, *target, pinned->layout);
+    if (static_cast<double>(longest_wait.count()) >= m_options.max_wait_share * time_left)
         return refuse(id, wanted, reason::overloaded,
                       "the shards' queues are too long for the deadline");
     ++m_counts.admitted;
@@ -57,7 +57,7 @@
     m_deadlines.emplace(wanted.deadline, id);
     running_query& running = m_queries[id];
     running.wanted = std::move(wanted);
-    start(now, id, running, *pinned);
+    start(id, running, *pinned);
 }
 
 // A full host keeps a place for each service by its weight.
@@ -81,7 +81,7 @@
     return false;
 }
 
-void coordinator::start(time_point now, query_id id, running_query& running, const snapshot& pinned)
+void coordinator::start(query_id id, running_query& running, const snapshot& pinned)
 {
     running.pinned = pinned;
     running.tried.push_back(pinned);
@@ -100,7 +100,6 @@
         budget.earn(0);
         send_part(id, running, index);
     }
-    (void)now;
 }
 
 shard_key coordinator::key_of(const running_query& running, const part& each) const
@@ -145,13 +144,16 @@
         return;
     }
     m_subs.erase(owner);
+    m_catalog.update_wait(now, shard, result.estimated_wait);
+    if (!result.versions.empty())
+        m_catalog.update(now, shard, result.versions, result.estimated_wait);
     if (result.outcome == verdict::may_have_run)
         each.may_have_run = true;
     if (result.outcome != verdict::done)
     {
         if (may_reroute(now, running, each, result))
             return schedule_route(now, found.query, running, found.part);
-        if (may_restart(now, running, result) && restart(now, found.query, running))
+        if (may_restart(now, running, result) && restart(found.query, running))
             return;
     }
     end_part(found.query, running, found.part, result);
@@ -185,7 +187,8 @@
 bool coordinator::may_restart(time_point now, const running_query& running,
                               const sub_result& result)
 {
-    if (result.why != reason::version_unavailable || running.tried.size() > 1 || running.wanted.key)
+    if (result.why != reason::version_unavailable ||
+        running.tried.size() > m_options.max_restarts || running.wanted.key)
         return false;
     const bool is_safe =
         running.wanted.idempotent ||
@@ -196,16 +199,18 @@
     return is_safe && left > m_options.answer_margin * 4;
 }
 
-bool coordinator::restart(time_point now, query_id id, running_query& running)
+bool coordinator::restart(query_id id, running_query& running)
 {
     const service* target = m_manifest->find(running.wanted.service);
     const auto pinned = target != nullptr ? m_catalog.choose(*target, running.tried) : std::nullopt;
+    const auto sent = static_cast<double>(running.parts.size());
     if (!pinned || pinned->version < running.pinned.version ||
-        !m_budgets.at(running.wanted.service).try_spend())
+        !m_budgets.at(running.wanted.service).try_spend(sent))
         return false;
     ++m_counts.restarted;
+    m_counts.wasted += running.parts.size();
     drop_subs(running);
-    start(now, id, running, *pinned);
+    start(id, running, *pinned);
     return true;
 }
 
--- a/tanagerspur/query/coordinator.hpp
+++ b/tanagerspur/query/coordinator.hpp
@@ -89,6 +89,8 @@
     std::uint32_t max_routes = 6;
     // Pause before such a try, doubled each time.
     duration first_route_pause = std::chrono::milliseconds{2};
+    // Other snapshots that a query may be started again on.
+    std::uint32_t max_restarts = 2;
     // Share of the time left that the owners' queues may take for a query to be admitted.
     double max_wait_share = 0.5;
 };
@@ -103,6 +105,8 @@
     std::uint64_t sub_requests = 0;
     std::uint64_t rerouted = 0;
     std::uint64_t restarted = 0;
+    // Sub-requests of restarted queries that were sent in vain.
+    std::uint64_t wasted = 0;
     std::uint64_t unmatched_results = 0;
 };
 
@@ -160,13 +164,13 @@
     };
 
     bool admit(time_point now, query_id id, const query& wanted, const service& target);
-    void start(time_point now, query_id id, running_query& running, const snapshot& pinned);
+    void start(query_id id, running_query& running, const snapshot& pinned);
     void send_part(query_id id, running_query& running, std::size_t index);
     bool may_reroute(time_point now, const running_query& running, const part& ended,
                      const sub_result& result);
     void schedule_route(time_point now, query_id id, running_query& running, std::size_t index);
     bool may_restart(time_point now, const running_query& running, const sub_result& result);
-    bool restart(time_point now, query_id id, running_query& running);
+    bool restart(query_id id, running_query& running);
     void end_part(query_id id, running_query& running, std::size_t index, const sub_result& result);
     void expire(query_id id);
     void finish(query_id id, running_query& running);
--- a/tanagerspur/query/version_catalog.cpp
+++ b/tanagerspur/query/version_catalog.cpp
@@ -20,6 +20,15 @@
     m_entries[shard] = {.versions = versions, .estimated_wait = estimated_wait, .updated = now};
 }
 
+void version_catalog::update_wait(time_point now, const shard_key& shard, duration estimated_wait)
+{
+    const auto found = m_entries.find(shard);
+    if (found == m_entries.end())
+        return;
+    found->second.estimated_wait = estimated_wait;
+    found->second.updated = now;
+}
+
 std::optional<snapshot> version_catalog::choose(const service& target,
                                                 const std::vector<snapshot>& excluded) const
 {
--- a/tanagerspur/query/version_catalog.hpp
+++ b/tanagerspur/query/version_catalog.hpp
@@ -30,6 +30,9 @@
     void update(time_point now, const shard_key& shard, const std::vector<index_version>& versions,
                 duration estimated_wait);
 
+    // A shard's wait, as a result has told it.
+    void update_wait(time_point now, const shard_key& shard, duration estimated_wait);
+
     // The snapshot that the most shards can serve, and of those the newest; nothing when no
     // shard of the service is known to serve any. Excluded snapshots are passed over.
     std::optional<snapshot> choose(const service& target,
