A new owner no longer unsays which versions a shard serves

Cause: fleet_test::draining_host_cuts_off_no_request, with look-ups in its load, got not_run "no version of the index is known" at a host that was not draining. After a handover the new owner's dispatcher has not heard from the replicas yet, and its heartbeat told an empty list of versions, which entry hosts took for the truth.

Ruled out: lost heartbeats; the catalogs had been overwritten, not aged.

Change: versions are told only once a replica has reported.

--- a/tanagerspur/dispatch/shard_dispatcher.cpp
+++ b/tanagerspur/dispatch/shard_dispatcher.cpp
@@ -217,7 +217,13 @@
     return next;
 }
 
-std::vector<index_version> shard_dispatcher::versions()
+bool shard_dispatcher::knows_versions() const
+{
+    return std::any_of(m_replicas.begin(), m_replicas.end(),
+                       [](const replica_state& each) { return each.has_reported; });
+}
+
+std::vector<index_version> shard_dispatcher::versions() const
 {
     std::vector<index_version> all;
     for (const replica_state& each : m_replicas)
--- a/tanagerspur/dispatch/shard_dispatcher.hpp
+++ b/tanagerspur/dispatch/shard_dispatcher.hpp
@@ -113,8 +113,10 @@
     // When on_timer is wanted next; never when nothing waits for time.
     time_point next_timer() const;
 
+    // Some replica has told its versions; before, versions() says nothing of the shard.
+    bool knows_versions() const;
     // Versions that some replica in use can serve, newest first.
-    std::vector<index_version> versions();
+    std::vector<index_version> versions() const;
     // Estimated time in the queue of a sub-request that came now.
     duration estimated_wait() const;
     std::size_t queued() const { return m_queue.size(); }
--- a/tanagerspur/host/core_membership.cpp
+++ b/tanagerspur/host/core_membership.cpp
@@ -80,7 +80,7 @@
     m_shards.for_each(
         [this](const shard_key& key, shard_dispatcher& dispatcher, bool is_owner)
         {
-            if (is_owner)
+            if (is_owner && dispatcher.knows_versions())
                 m_coordinator.catalog().update(m_now, key, dispatcher.versions(),
                                                dispatcher.estimated_wait());
         });
@@ -119,7 +119,8 @@
     m_shards.for_each(
         [&](const shard_key& key, shard_dispatcher& dispatcher, bool is_owner)
         {
-            if (!is_owner)
+            // A new owner that has not heard from the replicas must not unsay what others know.
+            if (!is_owner || !dispatcher.knows_versions())
                 return;
             wire::shard_status& status = *beat.add_shards();
             *status.mutable_where() = to_wire(key);
--- a/tanagerspur/ownership/planner.cpp
+++ b/tanagerspur/ownership/planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace tanagerspur
 {
@@ -21,6 +22,7 @@
         {
             ++m_owned[row.owner];
             ++m_deputized[row.deputy];
+            ++m_pairs[{row.owner, row.deputy}];
         }
     }
 
@@ -33,11 +35,15 @@
             [](const candidate_host&) { return true; });
     }
 
-    // The host with the fewest places, of another zone than the owner's if there is one.
+    // The host with the fewest places, of another zone than the owner's if there is one. An
+    // owner's shards have different deputies, so that its loss burdens many hosts a little.
     const candidate_host* least_deputy(const host_id& owner) const
     {
-        const auto cost = [this](const candidate_host& host) {
-            return std::pair{count(m_deputized, host.id), count(m_owned, host.id)};
+        const auto cost = [&](const candidate_host& host)
+        {
+            const auto pair = m_pairs.find({owner, host.id});
+            return std::tuple{pair == m_pairs.end() ? 0 : pair->second,
+                              count(m_deputized, host.id), count(m_owned, host.id)};
         };
         const zone_id zone = zone_of(owner);
         const candidate_host* other_zone = least(cost, [&](const candidate_host& host)
@@ -48,7 +54,11 @@
     }
 
     void add_owner(const host_id& id) { ++m_owned[id]; }
-    void add_deputy(const host_id& id) { ++m_deputized[id]; }
+    void add_deputy(const host_id& owner, const host_id& id)
+    {
+        ++m_deputized[id];
+        ++m_pairs[{owner, id}];
+    }
     std::size_t owned(const host_id& id) const { return count(m_owned, id); }
 
 private:
@@ -86,6 +96,7 @@
     const std::vector<candidate_host>& m_candidates;
     counts m_owned;
     counts m_deputized;
+    std::map<std::pair<host_id, host_id>, std::size_t> m_pairs;
 };
 
 bool contains(const std::vector<host_id>& hosts, const host_id& id)
@@ -124,7 +135,7 @@
     const candidate_host* deputy = places.least_deputy(owner->id);
     row.deputy = deputy != nullptr ? deputy->id : host_id{};
     if (deputy != nullptr)
-        places.add_deputy(deputy->id);
+        places.add_deputy(row.owner, deputy->id);
 }
 
 // Replaces what is gone from a row. A gone owner with an acting deputy is left to the deputy.
@@ -151,7 +162,7 @@
         if (!was_dead && row.predecessor.value().empty())
             row.predecessor = row.deputy;
         row.deputy = id;
-        places.add_deputy(id);
+        places.add_deputy(row.owner, id);
     }
 }
 
--- a/tanagerspur/testing/fake_fleet.cpp
+++ b/tanagerspur/testing/fake_fleet.cpp
@@ -479,6 +479,12 @@
     m_targets[address(shard, replica)].is_draining = is_draining;
 }
 
+void fake_fleet::set_target_limit(std::uint32_t limit)
+{
+    for (auto& [where, each] : m_targets)
+        each.limit = limit;
+}
+
 // The work ends after a random time, when it is cancelled, or at its deadline.
 void fake_fleet::arrive(std::size_t host, const target_attempt& attempt)
 {
--- a/tanagerspur/testing/fake_fleet.hpp
+++ b/tanagerspur/testing/fake_fleet.hpp
@@ -72,6 +72,9 @@
     void drain(std::size_t host);
     void set_target_draining(std::size_t shard, std::size_t replica, bool is_draining);
 
+    // What every target can bear from now on.
+    void set_target_limit(std::uint32_t limit);
+
     // Writes a manifest into the store, as an operator's apply does.
     void apply_manifest(std::uint64_t generation_number, std::uint32_t slots);
 
