A version that has gone is told as such; planner passes cost rows, not rows by hosts

Cause: system_tests/rollout.sh lost one answer in 300 now and then: "replicas_unavailable" for shards 8 and 9. When all replicas had reported the new version alone, a queued sub-request for the old one was hopeless before any attempt, and the reason was chosen by attempts that had met a refusal. Entry hosts restart a query only for version_unavailable.

Ruled out: stale catalogs (the refusal carried the versions), the deadline (answers took 20 ms).

Change: hopeless for lack of the version is version_unavailable, attempt or not. The planner looks hosts up in sets.

Before: dispatcher_test::tells_that_a_version_has_gone 1 failed.

--- a/tanagerspur/dispatch/replica_choice.cpp
+++ b/tanagerspur/dispatch/replica_choice.cpp
@@ -73,6 +73,15 @@
     return true;
 }
 
+// True when some replica could serve the shard, but not in this version.
+bool shard_dispatcher::lacks_version(const pending& entry) const
+{
+    for (std::size_t i = 0; i < m_replicas.size(); ++i)
+        if (!m_replicas[i].draining && !holds_version(i, entry.request.version))
+            return true;
+    return entry.lacking_version != 0;
+}
+
 // Ejection must not take away the shard: when it leaves too few replicas, failures are more
 // likely to be this host's view than the replicas' state, and all are used again.
 void shard_dispatcher::enforce_min_in_use(time_point now)
--- a/tanagerspur/dispatch/shard_dispatcher.cpp
+++ b/tanagerspur/dispatch/shard_dispatcher.cpp
@@ -85,8 +85,7 @@
             entry.is_queued = false;
             m_queue.erase(position);
             fail(entry,
-                 entry.lacking_version != 0 ? reason::version_unavailable
-                                            : reason::replicas_unavailable,
+                 lacks_version(entry) ? reason::version_unavailable : reason::replicas_unavailable,
                  "no replica of the shard can serve the request");
             return true;
         }
--- a/tanagerspur/dispatch/shard_dispatcher.hpp
+++ b/tanagerspur/dispatch/shard_dispatcher.hpp
@@ -184,6 +184,7 @@
     double score(std::size_t replica) const;
     bool holds_version(std::size_t replica, index_version version) const;
     bool is_hopeless(const pending& entry) const;
+    bool lacks_version(const pending& entry) const;
     void enforce_min_in_use(time_point now);
     void hedge(time_point now);
     bool may_hedge(time_point now, const attempt& each, const pending& entry) const;
--- a/tanagerspur/ownership/planner.cpp
+++ b/tanagerspur/ownership/planner.cpp
@@ -1,8 +1,8 @@
 #include "tanagerspur/ownership/assignment.hpp"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
+#include <unordered_set>
 
 namespace tanagerspur
 {
@@ -99,10 +99,21 @@
     std::map<std::pair<host_id, host_id>, std::size_t> m_pairs;
 };
 
-bool contains(const std::vector<host_id>& hosts, const host_id& id)
+// The planner's input with look-up in constant time: a pass costs the rows, not rows by hosts.
+struct host_sets
 {
-    return std::find(hosts.begin(), hosts.end(), id) != hosts.end();
-}
+    explicit host_sets(const planner_input& input)
+        : may_act(input.may_act.begin(), input.may_act.end())
+        , dead(input.dead.begin(), input.dead.end())
+    {
+        for (const candidate_host& each : input.candidates)
+            candidates.insert(each.id);
+    }
+
+    std::unordered_set<host_id> may_act;
+    std::unordered_set<host_id> dead;
+    std::unordered_set<host_id> candidates;
+};
 
 bool is_candidate(const std::vector<candidate_host>& hosts, const host_id& id)
 {
@@ -139,26 +150,26 @@
 }
 
 // Replaces what is gone from a row. A gone owner with an acting deputy is left to the deputy.
-void repair_row(shard_assignment& row, const planner_input& input, place_counter& places)
+void repair_row(shard_assignment& row, const host_sets& hosts, place_counter& places)
 {
-    const bool owner_acts = contains(input.may_act, row.owner);
-    const bool deputy_acts = contains(input.may_act, row.deputy);
-    if (contains(input.dead, row.predecessor))
+    const bool owner_acts = hosts.may_act.contains(row.owner);
+    const bool deputy_acts = hosts.may_act.contains(row.deputy);
+    if (hosts.dead.contains(row.predecessor))
         row.predecessor = {};
     if (!owner_acts && !deputy_acts)
     {
-        const bool are_dead = contains(input.dead, row.owner) &&
-                              (row.deputy.value().empty() || contains(input.dead, row.deputy));
+        const bool are_dead = hosts.dead.contains(row.owner) &&
+                              (row.deputy.value().empty() || hosts.dead.contains(row.deputy));
         row.predecessor = are_dead ? host_id{} : row.owner;
         place_row(row, places);
     }
-    else if (owner_acts && !deputy_acts && is_candidate(input.candidates, row.owner))
+    else if (owner_acts && !deputy_acts && hosts.candidates.contains(row.owner))
     {
         const candidate_host* deputy = places.least_deputy(row.owner);
         const host_id id = deputy != nullptr ? deputy->id : host_id{};
         if (id == row.deputy)
             return;
-        const bool was_dead = row.deputy.value().empty() || contains(input.dead, row.deputy);
+        const bool was_dead = row.deputy.value().empty() || hosts.dead.contains(row.deputy);
         if (!was_dead && row.predecessor.value().empty())
             row.predecessor = row.deputy;
         row.deputy = id;
@@ -177,13 +188,14 @@
         if (const shard_assignment* row = present.find(key))
             next.rows.emplace(key, *row);
     place_counter places(next, input.candidates);
+    const host_sets hosts(input);
     for (const shard_key& key : input.shards)
     {
         const auto [found, is_new] = next.rows.try_emplace(key);
         if (is_new)
             place_row(found->second, places);
         else
-            repair_row(found->second, input, places);
+            repair_row(found->second, hosts, places);
     }
     return finish(present, std::move(next));
 }
--- a/tanagerspur/testing/dispatcher_test.cpp
+++ b/tanagerspur/testing/dispatcher_test.cpp
@@ -286,6 +286,7 @@
     CPPUNIT_TEST(keeps_its_promises_under_any_schedule);
     CPPUNIT_TEST(health_ejects_probes_and_ramps);
     CPPUNIT_TEST(hedges_only_onto_idle_slots_within_the_budget);
+    CPPUNIT_TEST(tells_that_a_version_has_gone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -381,6 +382,31 @@
                              static_cast<std::uint64_t>(actions.sent));
         CPPUNIT_ASSERT_EQUAL(0U, tested.in_flight());
     }
+
+    // The reason makes the entry host start the query again on a version that is there.
+    void tells_that_a_version_has_gone()
+    {
+        struct last_result final : dispatch_actions
+        {
+            void send(attempt_id, std::size_t, const sub_request&, time_point) override {}
+            void cancel(attempt_id, std::size_t) override {}
+            void complete(sub_request_id, const sub_result& made) override { result = made; }
+            sub_result result;
+        };
+        last_result actions;
+        shard_dispatcher tested(
+            {.limits = test_limits(), .replica_count = replica_count, .health = {}}, actions);
+        const time_point now{std::chrono::seconds{1}};
+        tested.set_allowed(now, 3);
+        for (std::size_t i = 0; i < replica_count; ++i)
+            tested.on_load_report(now, i, {.slots = 2, .versions = {index_version{2}}});
+        tested.submit(now, {.id = sub_request_id{1},
+                            .version = index_version{1},
+                            .deadline = now + std::chrono::seconds{1}});
+        CPPUNIT_ASSERT(actions.result.outcome == verdict::not_run);
+        CPPUNIT_ASSERT(actions.result.why == reason::version_unavailable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.result.versions.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_test);
