--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -94,3 +94,21 @@
     PID=()
     return 0
 }
+
+# Sum of a member of all hosts' dumps.
+sum_of_dumps() {
+    local i total=0
+    for ((i = 1; i <= HOST_COUNT; i++)); do
+        total=$((total + $(curl -s "http://$(host_address "$i"):8081/admin/dump" | jq "$1")))
+    done
+    echo "$total"
+}
+
+# Processor time that all hosts have used, in milliseconds.
+cpu_ms() {
+    local i total=0
+    for ((i = 1; i <= HOST_COUNT; i++)); do
+        total=$((total + $(awk '{print ($14 + $15) * 10}' "/proc/${PID[h$i]}/stat")))
+    done
+    echo "$total"
+}
--- a/tanagerspur/dispatch/replica_choice.cpp
+++ b/tanagerspur/dispatch/replica_choice.cpp
@@ -34,11 +34,27 @@
 }
 
 bool shard_dispatcher::holds_version(std::size_t replica, index_version version) const
+{
+    const auto& held = m_replicas[replica].versions;
+    return std::find(held.begin(), held.end(), version) != held.end();
+}
+
+// A replica that has not reported, or whose report is older than the version, may hold it.
+// Asking it costs little, for a replica that lacks a version refuses without running.
+bool shard_dispatcher::may_hold_version(std::size_t replica, index_version version) const
 {
     const replica_state& state = m_replicas[replica];
-    // An unreported replica may hold it; asking it costs little, for it refuses without running.
-    return !state.has_reported ||
-           std::find(state.versions.begin(), state.versions.end(), version) != state.versions.end();
+    return !state.has_reported || holds_version(replica, version) ||
+           (!state.versions.empty() && version > state.versions.front());
+}
+
+// Some replica in use is known to hold the version, so that the others need not be asked.
+bool shard_dispatcher::is_held(index_version version) const
+{
+    for (std::size_t i = 0; i < m_replicas.size(); ++i)
+        if (!m_replicas[i].draining && holds_version(i, version))
+            return true;
+    return false;
 }
 
 std::optional<std::size_t> shard_dispatcher::choose(time_point now, const pending& entry,
@@ -46,9 +62,13 @@
 {
     std::optional<std::size_t> best;
     double best_score = 0;
+    const index_version version = entry.request.version;
+    const bool is_known = is_held(version);
     for (std::size_t i = 0; i < m_replicas.size(); ++i)
     {
-        if ((entry.excluded >> i & 1U) != 0 || !holds_version(i, entry.request.version))
+        const bool fits = is_known && m_replicas[i].has_reported ? holds_version(i, version)
+                                                                 : may_hold_version(i, version);
+        if ((entry.excluded >> i & 1U) != 0 || !fits)
             continue;
         const std::uint32_t limit =
             idle_only ? std::min(limit_of(now, i), slots_of(i)) : limit_of(now, i);
@@ -68,7 +88,7 @@
 {
     for (std::size_t i = 0; i < m_replicas.size(); ++i)
         if ((entry.excluded >> i & 1U) == 0 && !m_replicas[i].draining &&
-            holds_version(i, entry.request.version))
+            may_hold_version(i, entry.request.version))
             return false;
     return true;
 }
@@ -77,7 +97,7 @@
 bool shard_dispatcher::lacks_version(const pending& entry) const
 {
     for (std::size_t i = 0; i < m_replicas.size(); ++i)
-        if (!m_replicas[i].draining && !holds_version(i, entry.request.version))
+        if (!m_replicas[i].draining && !may_hold_version(i, entry.request.version))
             return true;
     return entry.lacking_version != 0;
 }
--- a/tanagerspur/dispatch/shard_dispatcher.hpp
+++ b/tanagerspur/dispatch/shard_dispatcher.hpp
@@ -183,6 +183,8 @@
     std::uint32_t slots_of(std::size_t replica) const;
     double score(std::size_t replica) const;
     bool holds_version(std::size_t replica, index_version version) const;
+    bool may_hold_version(std::size_t replica, index_version version) const;
+    bool is_held(index_version version) const;
     bool is_hopeless(const pending& entry) const;
     bool lacks_version(const pending& entry) const;
     void enforce_min_in_use(time_point now);
--- a/tanagerspur/host/daemon.cpp
+++ b/tanagerspur/host/daemon.cpp
@@ -222,6 +222,8 @@
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> operator_server;
     asio::steady_timer timer;
+    // When the timer is set to end.
+    time_point armed = time_point::min();
     std::mutex mutex;
     std::condition_variable stopped_changed;
     bool stopped = false;
@@ -386,15 +388,21 @@
     asio::post(io, std::move(again));
 }
 
+// A timer that is already set for no later is left alone: it costs two handlers to set again.
 void host_daemon::state::arm_timer()
 {
-    const duration wait = std::max(min_timer_wait, core->next_timer() - steady_now());
-    timer.expires_after(wait);
+    const time_point now = steady_now();
+    const time_point next = std::max(core->next_timer(), now + min_timer_wait);
+    if (armed > now && armed <= next)
+        return;
+    armed = next;
+    timer.expires_after(next - now);
     timer.async_wait(
         [this](boost::system::error_code error)
         {
             if (error)
                 return;
+            armed = time_point::min();
             core->on_timer(steady_now());
             arm_timer();
         });
--- a/tanagerspur/testing/dispatcher_test.cpp
+++ b/tanagerspur/testing/dispatcher_test.cpp
@@ -287,6 +287,7 @@
     CPPUNIT_TEST(health_ejects_probes_and_ramps);
     CPPUNIT_TEST(hedges_only_onto_idle_slots_within_the_budget);
     CPPUNIT_TEST(tells_that_a_version_has_gone);
+    CPPUNIT_TEST(asks_for_a_version_newer_than_the_reports);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -383,6 +384,47 @@
         CPPUNIT_ASSERT_EQUAL(0U, tested.in_flight());
     }
 
+    // Reports lag behind a rollout; a replica that lacks the version refuses without running.
+    void asks_for_a_version_newer_than_the_reports()
+    {
+        struct sent_replicas final : dispatch_actions
+        {
+            void send(attempt_id attempt, std::size_t replica, const sub_request&,
+                      time_point) override
+            {
+                last = attempt;
+                replicas.push_back(replica);
+            }
+            void cancel(attempt_id, std::size_t) override {}
+            void complete(sub_request_id, const sub_result&) override {}
+            attempt_id last;
+            std::vector<std::size_t> replicas;
+        };
+        sent_replicas actions;
+        shard_dispatcher tested(
+            {.limits = test_limits(), .replica_count = replica_count, .health = {}}, actions);
+        const time_point now{std::chrono::seconds{1}};
+        tested.set_allowed(now, 3);
+        for (std::size_t i = 0; i < replica_count; ++i)
+            tested.on_load_report(now, i, {.slots = 2, .versions = {index_version{1}}});
+        const auto submit = [&](std::uint64_t id)
+        {
+            tested.submit(now, {.id = sub_request_id{id},
+                                .version = index_version{2},
+                                .deadline = now + std::chrono::seconds{1}});
+        };
+        submit(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.replicas.size());
+        tested.on_result(now, actions.last,
+                         {.end = attempt_end::answered, .version = index_version{2}});
+        // Once one replica is known to hold it, the others are not asked.
+        tested.on_load_report(now, 2, {.slots = 2, .versions = {index_version{2}}});
+        submit(2);
+        submit(3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, actions.replicas[1]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, actions.replicas[2]);
+    }
+
     // The reason makes the entry host start the query again on a version that is there.
     void tells_that_a_version_has_gone()
     {
