--- a/stand_ins/target_fleet.cpp
+++ b/stand_ins/target_fleet.cpp
@@ -85,6 +85,8 @@
                 faults.slow_factor = value.to_number<double>();
             else if (key == "wrong_version")
                 faults.wrong_version = value.as_int64();
+            else if (key == "cold_s")
+                target->start_cold(std::chrono::seconds{value.as_int64()});
             else if (key == "silence" && value.as_bool())
                 target->silence_connections();
             else if (key == "versions")
--- a/stand_ins/target_stand_in.cpp
+++ b/stand_ins/target_stand_in.cpp
@@ -15,6 +15,7 @@
 
 constexpr double service_sigma = 0.5;
 constexpr double straggler_factor = 10;
+constexpr double cold_factor = 5;
 constexpr std::string_view attempt_prefix = "/attempts/";
 
 } // namespace
@@ -180,6 +181,12 @@
     std::erase_if(m_waiting, [&](const auto& each) { return each->token == token; });
 }
 
+void target_stand_in::start_cold(duration length)
+{
+    m_faults.cold_begin = steady_now();
+    m_faults.cold_end = m_faults.cold_begin + length;
+}
+
 duration target_stand_in::service_time()
 {
     const double mean = static_cast<double>(m_options.mean_service.count());
@@ -189,6 +196,13 @@
     double time = lognormal(m_random) * m_faults.slow_factor;
     if (uniform(m_random) < m_options.straggler_share)
         time *= straggler_factor;
+    const time_point now = steady_now();
+    if (now < m_faults.cold_end)
+    {
+        const duration whole = m_faults.cold_end - m_faults.cold_begin;
+        const double left = std::chrono::duration<double>(m_faults.cold_end - now) / whole;
+        time *= 1 + (cold_factor - 1) * left;
+    }
     return duration{static_cast<duration::rep>(time)};
 }
 
--- a/stand_ins/target_stand_in.hpp
+++ b/stand_ins/target_stand_in.hpp
@@ -41,6 +41,9 @@
     // The load report goes on saying what it said when this was set.
     bool frozen_report = false;
     double slow_factor = 1;
+    // A cold start: service is cold_factor times slower at first, less and less until cold_end.
+    time_point cold_begin;
+    time_point cold_end;
     // Connections up to this number swallow what is sent on them.
     std::uint64_t silent_up_to = 0;
     // Every answer carries this version, whatever was asked.
@@ -79,6 +82,8 @@
     {
         m_options.versions = std::move(versions);
     }
+    // The target begins cold now, and is warm after this time.
+    void start_cold(duration length);
     // Connections that are open now go silent.
     void silence_connections() { m_faults.silent_up_to = m_newest_connection; }
     const target_counters& counters() const { return m_counters; }
