--- a/programs/tanagerspur.cpp
+++ b/programs/tanagerspur.cpp
@@ -16,6 +16,7 @@
 #include <iostream>
 #include <thread>
 
+DECLARE_bool(help);
 DEFINE_string(platform, "127.0.0.1:7000", "address:port of the platform");
 DEFINE_string(hosts, "", "IP numbers of hosts, in place of the platform's list");
 DEFINE_string(host, "", "IP number of one host");
@@ -340,6 +341,11 @@
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
     const std::string command = argc > 1 ? argv[1] : "help";
+    if (FLAGS_help)
+    {
+        gflags::ShowUsageWithFlagsRestrict(argv[0], "programs/tanagerspur.cpp");
+        return exit_ok;
+    }
     gflags::HandleCommandLineHelpFlags();
     return run(command, argc > 2 ? argv[2] : "");
 }
