The test of a draining host has requests in flight when the notice ends

Cause: the mutant "a drain does not wait for requests" survived the last full run of scripts/mutants: with requests of at most 8 ms nothing is in flight by the tick that stops the host, so the test passed by luck of its load.

Ruled out: another load or more seeds with short requests (tried, ten seeds: still survived).

Change: ten drains with requests of up to 95 ms.

Before: the mutant passed. After: it fails (a caller without an answer: expected 1, actual 0); unmutated 1 passed, 0 failed.

--- a/tanagerspur/testing/fleet_test.cpp
+++ b/tanagerspur/testing/fleet_test.cpp
@@ -322,9 +322,19 @@
 
     void draining_host_cuts_off_no_request()
     {
-        const auto fleet = make_fleet(6);
-        start_load(*fleet, std::chrono::milliseconds{3}, fleet->now() + std::chrono::seconds{4});
-        fleet->run_for(std::chrono::milliseconds{500});
+        for (std::uint64_t seed = 6; seed < 16; ++seed)
+            drain_host(seed);
+    }
+
+    void drain_host(std::uint64_t seed)
+    {
+        // Requests take longer than a tick, so that some are in flight when the notice ends.
+        const auto fleet = std::make_unique<fake_fleet>(testing::fake_fleet_options{
+            .hosts = host_count, .seed = seed, .max_service = std::chrono::milliseconds{95}});
+        fleet->run_for(std::chrono::seconds{5});
+        start_load(*fleet, std::chrono::milliseconds{20}, fleet->now() + std::chrono::seconds{4});
+        // Other requests are in flight at the end of each notice.
+        fleet->run_for(std::chrono::milliseconds{400 + 13 * seed});
         fleet->drain(2);
         fleet->run_for(std::chrono::seconds{5});
         CPPUNIT_ASSERT(!fleet->is_alive(2));
