--- a/tanagerspur/common/ids.hpp
+++ b/tanagerspur/common/ids.hpp
@@ -56,6 +56,10 @@
 using epoch = detail::strong_id<struct epoch_tag, std::uint64_t>;
 // A start of a host's daemon; a restart has another one.
 using incarnation = detail::strong_id<struct incarnation_tag, std::uint64_t>;
+// Version of the routing configuration; larger is newer. 0 means none.
+using configuration_version = detail::strong_id<struct configuration_version_tag, std::uint64_t>;
+// A registered replica of a service.
+using replica_id = detail::strong_id<struct replica_tag, std::string>;
 // A caller's request.
 using request_id = detail::strong_id<struct request_tag, std::string>;
 // One sub-request, unique within the host that made it.
--- a/tanagerspur/common/ini.cpp
+++ b/tanagerspur/common/ini.cpp
@@ -76,6 +76,23 @@
                                           std::to_string(bounds.max)));
 }
 
+result<double> ini_section::decimal(const std::string& key, const decimal_bounds& bounds)
+{
+    m_asked.insert(key);
+    const auto found = m_values.find(key);
+    if (found == m_values.end())
+        return bounds.fallback;
+    double value = 0;
+    const std::string& text = found->second;
+    const auto [stop, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool valid = code == std::errc{} && stop == text.data() + text.size();
+    if (valid && value >= bounds.min && value <= bounds.max)
+        return value;
+    return leaf::new_error(error(key, std::string{bounds.unit} + " from " +
+                                          std::to_string(bounds.min) + " to " +
+                                          std::to_string(bounds.max)));
+}
+
 result<bool> ini_section::boolean(const std::string& key, bool fallback)
 {
     const std::string value = text_or(key, fallback ? "true" : "false");
--- a/tanagerspur/common/ini.hpp
+++ b/tanagerspur/common/ini.hpp
@@ -31,6 +31,16 @@
     std::optional<std::int64_t> fallback = std::nullopt;
 };
 
+// Bounds of a decimal key, both ends included.
+struct decimal_bounds
+{
+    double min = 0;
+    double max = 0;
+    std::string_view unit;
+    // Value of an absent key.
+    double fallback = 0;
+};
+
 // One section; remembers which of its keys were asked for.
 class ini_section
 {
@@ -45,6 +55,7 @@
     // A text with a value for an absent key.
     std::string text_or(const std::string& key, const std::string& fallback);
     result<std::int64_t> integer(const std::string& key, const integer_bounds& bounds);
+    result<double> decimal(const std::string& key, const decimal_bounds& bounds);
     // "true" or "false".
     result<bool> boolean(const std::string& key, bool fallback);
 
--- a/tanagerspur/common/time.hpp
+++ b/tanagerspur/common/time.hpp
@@ -29,6 +29,10 @@
 // The machine's steady clock on the monotonic time line.
 time_point steady_now();
 
+// A monotonic clock that also counts the time in which the machine was suspended, so that
+// deadlines and evidence lapse meanwhile. Not comparable with steady_now().
+time_point boot_now();
+
 // Milliseconds with a fraction, for reports.
 inline double to_ms(duration value)
 {
--- /dev/null
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -0,0 +1,231 @@
+// Forwards requests to replicas: one replica, or one of each shard of a scatter. It decides which
+// replica gets a request, when a second one is asked, when an answer is given, and with what
+// status. It has no threads, sockets or clock: time and events come in, and what it wants done
+// goes out through forwarder_environment.
+//
+// Guarantees:
+//  - a request is sent to at most max_attempts replicas (of each shard);
+//  - one that is not idempotent is sent again only after proof that it did not run;
+//  - 503 is answered only if no replica can have run the request;
+//  - second attempts stay within the budget of their service;
+//  - every request is answered once, by its deadline.
+
+#ifndef TANAGERSPUR_FORWARDING_FORWARDER_HPP
+#define TANAGERSPUR_FORWARDING_FORWARDER_HPP
+
+#include "tanagerspur/dispatch/budget.hpp"
+#include "tanagerspur/dispatch/latency_estimator.hpp"
+#include "tanagerspur/forwarding/messages.hpp"
+#include "tanagerspur/forwarding/replica_choice.hpp"
+#include "tanagerspur/routing/route_table.hpp"
+#include "tanagerspur/routing/split_picker.hpp"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace tanagerspur
+{
+
+using exchange_id = detail::strong_id<struct exchange_tag, std::uint64_t>;
+
+struct forwarder_options
+{
+    zone_id own_zone;
+    std::uint64_t seed = 1;
+    // Share of a route's attempts that end before a second one is sent. The rest is what second
+    // attempts cost; it leaves half of the deployment's budget to failures.
+    double hedge_quantile = 0.90;
+    // Extra attempts for each request of a service, of the deployment's ratio.
+    double retry_ratio = 0.17;
+    // Extra attempts of a service that this host may save up.
+    double retry_burst = 5;
+    // Time that an attempt may go on after its exchange has been answered.
+    duration linger = std::chrono::milliseconds{400};
+    // Latency assumed for a route before its first answers, as a share of its objective.
+    double first_usual_share = 0.25;
+};
+
+// Counts since the start, for metrics.
+struct forwarder_counters
+{
+    std::uint64_t begun = 0;
+    std::uint64_t succeeded = 0;
+    std::uint64_t partial = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t timed_out = 0;
+    std::uint64_t left_by_caller = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t budget_denied = 0;
+};
+
+// One attempt to send.
+struct attempt_order
+{
+    std::uint64_t number = 0;
+    replica_ref to;
+    std::shared_ptr<const caller_request> request;
+    time_point deadline;
+    // The attempt must not be sent on a connection that may be broken: it can't be repeated.
+    bool is_idempotent = true;
+};
+
+// What a finished exchange was, for logs.
+struct exchange_summary
+{
+    exchange_id id;
+    const caller_request* request = nullptr;
+    const route* on = nullptr;
+    configuration_version version;
+    int status = 0;
+    std::string_view cause;
+    duration took{0};
+    std::size_t parts = 0;
+    std::size_t expected_parts = 0;
+    std::uint32_t attempts = 0;
+    std::uint32_t extra_attempts = 0;
+    // Shards left out, with the last known reason, for example "desk-3:no_replica".
+    std::string missing;
+};
+
+class forwarder_environment
+{
+public:
+    virtual ~forwarder_environment() = default;
+
+    // Starts an attempt; forwarder::attempt_ended tells its outcome, never from within the call.
+    virtual void send(const attempt_order& order) = 0;
+    // Gives an attempt up at the time, if it has not ended by then.
+    virtual void end_by(std::uint64_t attempt, time_point end) = 0;
+    // Gives an attempt up now by closing its connection, so that the replica stops its work.
+    virtual void abort(std::uint64_t attempt) = 0;
+    virtual bool has_room(const replica& at) = 0;
+    virtual void answer(exchange_id exchange, caller_answer answer) = 0;
+    // Calls forwarder::wake at the time; replaces the exchange's earlier timer.
+    virtual void wake_at(exchange_id exchange, time_point when) = 0;
+    virtual void finished(const exchange_summary& summary) = 0;
+};
+
+class forwarder
+{
+public:
+    forwarder(forwarder_options options, replica_registry& registry,
+              forwarder_environment& environment);
+    ~forwarder();
+
+    // Starts the request on a route of the table. The environment hears the answer, perhaps from
+    // within the call.
+    void begin(exchange_id id, std::shared_ptr<const caller_request> request,
+               std::shared_ptr<const route_table> table, const route& on, time_point now);
+
+    // The caller has gone: idempotent attempts are aborted and no answer is given.
+    void cancel(exchange_id id, time_point now);
+
+    void attempt_ended(std::uint64_t attempt, const attempt_outcome& outcome, time_point now);
+
+    void wake(exchange_id id, time_point now);
+
+    // Extra attempts of a service that all hosts together may save up, and their number.
+    void set_retry_burst(double burst);
+
+    std::size_t under_way() const { return m_exchanges.size(); }
+    const forwarder_counters& counters() const { return m_counters; }
+
+    // Latency that is usual on a route, and the wait before a second attempt.
+    duration usual_latency(const route& on);
+    duration hedge_delay(const route& on);
+
+private:
+    // Latencies of a route's attempts.
+    struct route_latency
+    {
+        quantile_estimator median{0.5};
+        quantile_estimator hedge;
+    };
+    // One shard of a scatter, or the whole request.
+    struct leg
+    {
+        enum class state
+        {
+            pending,
+            done,
+            failed
+        };
+        service_id service;
+        state now = state::pending;
+        std::uint32_t sends = 0;
+        std::uint32_t connect_failures = 0;
+        std::vector<std::uint64_t> tried;
+        std::vector<std::uint64_t> under_way;
+        time_point hedge_at = never;
+        bool may_have_run = false;
+        std::string_view cause = "pending";
+        std::optional<replica_answer> answer;
+    };
+    struct exchange
+    {
+        exchange_id id;
+        std::shared_ptr<const caller_request> request;
+        std::shared_ptr<const route_table> table;
+        const route* on = nullptr;
+        time_point begun;
+        time_point deadline;
+        // When a partial answer is given, if it has the coverage that the route asks for.
+        time_point answer_at;
+        std::vector<leg> legs;
+        std::uint32_t attempts = 0;
+        std::uint32_t extra_attempts = 0;
+    };
+    struct attempt
+    {
+        exchange_id exchange;
+        std::size_t leg = 0;
+        replica_ref to;
+        std::string route;
+        duration usual{0};
+        time_point sent;
+    };
+
+    route_latency& latency_of(const route& on);
+    extra_load_budget& budget_of(const service_id& service);
+    std::size_t needed_parts(const exchange& of) const;
+
+    // Sends the leg's next attempt; false when no replica can take it.
+    bool send_next(exchange& of, std::size_t leg_index, time_point now);
+    // Sends another attempt if attempts and budget allow it.
+    bool send_again(exchange& of, std::size_t leg_index, time_point now);
+    void learn(const attempt& ended, std::uint64_t number, const attempt_outcome& outcome,
+               time_point now);
+    void leg_attempt_ended(exchange& of, std::size_t leg_index, const attempt_outcome& outcome,
+                           time_point now);
+    void fail_leg(leg& which, std::string_view cause);
+    // Answers the exchange if nothing more is to be waited for, else sets its timer.
+    void settle(exchange& of, time_point now);
+    void hedge_due(exchange& of, time_point now);
+    void conclude(exchange& of, time_point now);
+    caller_answer make_answer(exchange& of, time_point now, std::string_view& cause);
+    caller_answer make_scatter_answer(const exchange& of) const;
+    caller_answer make_refusal(const exchange& of);
+    void finish(exchange& of, caller_answer* answer, std::string_view cause, time_point now);
+
+    forwarder_options m_options;
+    replica_registry& m_registry;
+    forwarder_environment& m_environment;
+    replica_choice m_choice;
+    split_picker m_splits;
+    std::mt19937_64 m_random;
+    std::map<std::string, route_latency> m_latencies;
+    std::map<service_id, extra_load_budget> m_budgets;
+    std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
+    std::unordered_map<std::uint64_t, attempt> m_attempts;
+    std::uint64_t m_next_attempt = 1;
+    forwarder_counters m_counters;
+};
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/forwarding/messages.hpp
@@ -0,0 +1,93 @@
+// Requests and answers as the forwarder sees them, free of header names of any protocol.
+
+#ifndef TANAGERSPUR_FORWARDING_MESSAGES_HPP
+#define TANAGERSPUR_FORWARDING_MESSAGES_HPP
+
+#include "tanagerspur/common/ids.hpp"
+#include "tanagerspur/common/time.hpp"
+#include "tanagerspur/registry/replica_estimate.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerspur
+{
+
+// A header field as it stood in the message, in its order and case.
+struct header_field
+{
+    std::string name;
+    std::string value;
+};
+
+// A caller's request, to be forwarded unchanged.
+struct caller_request
+{
+    std::string method;
+    // Path and query as they were sent.
+    std::string target;
+    // End-to-end fields without those that the tier sets itself.
+    std::vector<header_field> fields;
+    std::string body;
+    request_id id;
+    // How long the caller waits, from the arrival of the request.
+    std::optional<duration> patience;
+    // Time between the caller's first packet and the arrival here, with the way back; an estimate.
+    duration transit{0};
+};
+
+// A replica's answer, complete and checked to belong to its request.
+struct replica_answer
+{
+    int status = 0;
+    std::string reason;
+    std::vector<header_field> fields;
+    std::string body;
+    // The replica's signature of the answer; empty without one.
+    std::string signature;
+
+    bool is_success() const { return status >= 200 && status < 300; }
+};
+
+// What the caller gets.
+struct caller_answer
+{
+    int status = 503;
+    std::string reason;
+    std::vector<header_field> fields;
+    std::string body;
+    // For a refusal: when to come back.
+    std::optional<duration> retry_after;
+    // For a scatter: the signatures of the parts that are in, and the number of shards left out.
+    std::vector<std::string> part_signatures;
+    std::optional<std::size_t> missing_parts;
+};
+
+// How an attempt at a replica ended.
+enum class attempt_result
+{
+    not_sent, // no byte of the request left this host
+    refused,  // the replica states that it did not run the request
+    answered, // a complete answer of any other kind
+    failed,   // the replica may have run the request; there is no answer
+    abandoned // this host gave the attempt up
+};
+
+std::string_view to_string(attempt_result value);
+
+struct attempt_outcome
+{
+    attempt_result result = attempt_result::failed;
+    replica_answer answer;
+    std::optional<reported_load> load;
+    // The address belongs to another replica now.
+    bool is_misdirected = false;
+    // For logs.
+    std::string detail;
+};
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/forwarding/replica_choice.cpp
@@ -0,0 +1,50 @@
+#include "tanagerspur/forwarding/replica_choice.hpp"
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+replica_choice::replica_choice(choice_options options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_random(seed)
+{
+}
+
+double replica_choice::expected_us(const replica& candidate, const choice_request& request,
+                                   time_point now)
+{
+    const replica_estimate& estimate = candidate.estimate;
+    const double jitter = std::uniform_real_distribution<>{1.0, 1.0 + m_options.jitter}(m_random);
+    double expected = static_cast<double>(request.usual.count()) *
+                      estimate.expected_ratio(now, candidate.record.slots) * jitter;
+    if (candidate.record.zone != m_options.own_zone)
+        expected += static_cast<double>(m_options.other_zone_cost.count());
+    expected += 2 * static_cast<double>(estimate.overdue(now).count());
+    expected += estimate.failure_share(now) * static_cast<double>(request.failure_cost.count());
+    return expected;
+}
+
+replica_ref replica_choice::choose(const std::vector<replica_ref>& replicas,
+                                   const choice_request& request, const has_room& room,
+                                   time_point now)
+{
+    replica_ref best;
+    double least = 0;
+    for (const replica_ref& each : replicas)
+    {
+        const bool was_tried = std::find(request.tried->begin(), request.tried->end(),
+                                         each->number) != request.tried->end();
+        if (was_tried || !each->estimate.is_reachable(now) || !room(*each))
+            continue;
+        const double expected = expected_us(*each, request, now);
+        if (best == nullptr || expected < least)
+        {
+            best = each;
+            least = expected;
+        }
+    }
+    return best;
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/gateway/gateway.cpp
@@ -0,0 +1,525 @@
+#include "tanagerspur/gateway/gateway.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+constexpr duration tick_interval = std::chrono::milliseconds{50};
+// Share of what a replica accepts that the hosts use together: health checks and hosts that have
+// just joined need the rest.
+constexpr double connection_share = 0.85;
+constexpr std::size_t max_connections_per_replica = 6;
+// Share of the deployment's ratio of extra attempts that is used: hosts count apart, and a window
+// may begin with saved tokens.
+constexpr double retry_ratio_share = 0.85;
+constexpr double retry_slack_share = 0.7;
+// After SIGTERM new connections are taken for this long: callers keep addresses a while.
+constexpr duration accept_while_stopping = std::chrono::milliseconds{3'500};
+// Left of the time to stop when the last requests are ended.
+constexpr duration stop_margin = std::chrono::milliseconds{500};
+// Time that the entries of other hosts are kept after they vanished around an outage.
+constexpr duration host_grace = std::chrono::seconds{3};
+// Retry-After while this host knows no configuration: a start takes some tenths of a second.
+constexpr duration starting_retry_after = std::chrono::milliseconds{200};
+// Time on the way that is assumed while the round trip to a caller is not known.
+constexpr duration default_round_trip = std::chrono::milliseconds{6};
+// For wake-ups, processing and writing of an answer.
+constexpr duration processing_margin = std::chrono::milliseconds{3};
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+std::string number_text(std::uint64_t value)
+{
+    return std::to_string(value);
+}
+
+} // namespace
+
+gateway::gateway(boost::asio::io_context& io, gateway_settings settings, wire_dialect dialect,
+                 const store_codec& codec, shared_store& store)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_dialect(std::move(dialect))
+    , m_codec(codec)
+    , m_store(store)
+    , m_log("gateway")
+    , m_registry({}, *this)
+    , m_pool(io, m_dialect,
+             [this](std::uint64_t attempt, const attempt_outcome& outcome)
+             { m_forwarder.attempt_ended(attempt, outcome, boot_now()); })
+    , m_forwarder({.own_zone = m_settings.zone,
+                   .seed = std::hash<std::string>{}(m_settings.id.value()),
+                   .retry_ratio = m_settings.retry_ratio * retry_ratio_share,
+                   .retry_burst = 1},
+                  m_registry, *this)
+    , m_ingress(io, m_dialect, *this)
+    , m_mirror(io, store, {.seed = std::hash<std::string>{}(m_settings.id.value())}, *this)
+    , m_registration(io, store, {.key = codec.host_key(m_settings.id)})
+    , m_directory({.id = m_settings.id, .zone = m_settings.zone, .callers = m_settings.callers})
+    , m_tick_timer(io)
+    , m_started(boot_now())
+{
+}
+
+gateway::~gateway() = default;
+
+std::string gateway::start()
+{
+    m_log.write("start", {{"host", m_settings.id.value()},
+                          {"zone", m_settings.zone.value()},
+                          {"callers", to_string(m_settings.callers)},
+                          {"store", to_string(m_settings.store)}});
+    std::string error = m_ingress.start(m_settings.callers);
+    if (!error.empty())
+        return error;
+    m_mirror.start();
+    schedule_tick();
+    return {};
+}
+
+bool gateway::is_ready() const
+{
+    return m_table != nullptr && m_has_snapshot && !m_is_stopping;
+}
+
+std::vector<endpoint> gateway::addresses(const zone_id& caller_zone, std::size_t most) const
+{
+    return m_directory.addresses(caller_zone, most);
+}
+
+void gateway::publish_self()
+{
+    m_directory.set_self_ready(is_ready());
+    if (m_has_snapshot)
+        m_registration.publish(m_codec.encode_host(m_directory.self()));
+}
+
+// ---- What the store says
+
+void gateway::on_snapshot(const std::vector<store_change>& items)
+{
+    const time_point now = boot_now();
+    std::vector<replica_record> replicas;
+    std::vector<host_id> hosts;
+    bool has_own_entry = false;
+    for (const store_change& each : items)
+    {
+        const store_key key = m_codec.decode_key(each.key);
+        if (const auto* id = std::get_if<replica_id>(&key))
+        {
+            const replica_value value = m_codec.decode_replica(*id, *each.value);
+            if (const auto* record = std::get_if<replica_record>(&value))
+                replicas.push_back(*record);
+            else
+                apply_replica(*id, *each.value);
+        }
+        else if (const auto* host = std::get_if<host_id>(&key))
+        {
+            hosts.push_back(*host);
+            has_own_entry = has_own_entry || *host == m_settings.id;
+            apply_host(*host, *each.value);
+        }
+        else if (std::holds_alternative<configuration_key>(key))
+            apply_configuration(*each.value);
+    }
+    m_registry.replace_all(replicas, now);
+    m_directory.keep_only(hosts, keep_until());
+    if (!has_own_entry)
+        m_registration.entry_lost();
+    m_has_snapshot = true;
+    m_log.write("snapshot", {{"replicas", number_text(replicas.size())},
+                             {"hosts", number_text(hosts.size())},
+                             {"revision", number_text(m_mirror.as_of().value())}});
+    hosts_changed();
+}
+
+void gateway::on_change(const store_change& change)
+{
+    const store_key key = m_codec.decode_key(change.key);
+    if (const auto* id = std::get_if<replica_id>(&key))
+    {
+        if (change.value)
+            apply_replica(*id, *change.value);
+        else
+            m_registry.remove(*id, boot_now());
+    }
+    else if (const auto* host = std::get_if<host_id>(&key))
+    {
+        if (change.value)
+            apply_host(*host, *change.value);
+        else if (*host == m_settings.id)
+            m_registration.entry_lost();
+        else
+            m_directory.remove(*host, keep_until());
+        hosts_changed();
+    }
+    else if (std::holds_alternative<configuration_key>(key) && change.value)
+        apply_configuration(*change.value);
+}
+
+void gateway::on_store_lost()
+{
+    m_registry.store_lost(boot_now());
+    m_log.write("store_lost", {{"revision", number_text(m_mirror.as_of().value())}});
+}
+
+void gateway::on_store_regained()
+{
+    m_registry.store_regained(boot_now());
+    m_log.write("store_regained", {{"revision", number_text(m_mirror.as_of().value())}});
+}
+
+time_point gateway::keep_until() const
+{
+    return m_mirror.is_connected() ? boot_now() + host_grace : never;
+}
+
+void gateway::apply_configuration(const std::string& value)
+{
+    configuration_value decoded = m_codec.decode_configuration(value);
+    if (const auto* bad = std::get_if<malformed_value>(&decoded))
+    {
+        ++m_malformed;
+        m_log.write("configuration_malformed", {{"why", bad->why}});
+        return;
+    }
+    auto& configuration = std::get<routing_configuration>(decoded);
+    if (m_table != nullptr && configuration.version <= m_table->version())
+        return;
+    m_log.write("configuration_applied",
+                {{"version", number_text(configuration.version.value())},
+                 {"routes", number_text(configuration.routes.size())},
+                 {"before", number_text(m_table ? m_table->version().value() : 0)}});
+    m_ingress.set_limits(configuration.limits);
+    m_table = std::make_shared<const route_table>(std::move(configuration));
+    hosts_changed();
+}
+
+void gateway::apply_replica(const replica_id& id, const std::string& value)
+{
+    const replica_value decoded = m_codec.decode_replica(id, value);
+    if (const auto* record = std::get_if<replica_record>(&decoded))
+        return m_registry.put(*record, boot_now());
+    ++m_malformed;
+    m_log.write_limited("replica_malformed",
+                        {{"replica", id.value()}, {"why", std::get<malformed_value>(decoded).why}},
+                        boot_now());
+    m_registry.remove(id, boot_now());
+}
+
+void gateway::apply_host(const host_id& id, const std::string& value)
+{
+    const host_value decoded = m_codec.decode_host(id, value);
+    if (const auto* record = std::get_if<host_record>(&decoded))
+        return m_directory.put(*record);
+    ++m_malformed;
+    m_log.write("host_malformed",
+                {{"host", id.value()}, {"why", std::get<malformed_value>(decoded).why}});
+}
+
+// Connections and extra attempts are shared out among the hosts that are known.
+void gateway::hosts_changed()
+{
+    const auto hosts = static_cast<double>(m_directory.known_hosts());
+    m_forwarder.set_retry_burst(std::max(1.0, m_settings.retry_slack * retry_slack_share / hosts));
+    if (m_table != nullptr)
+        for (const auto& [service, rule] : m_table->configuration().services)
+        {
+            const auto share =
+                static_cast<std::size_t>(connection_share * rule.max_connections / hosts);
+            m_pool.set_limit(service,
+                             std::clamp<std::size_t>(share, 1, max_connections_per_replica));
+        }
+    publish_self();
+}
+
+void gateway::replica_added(const replica& added)
+{
+    m_log.write_limited("replica_added",
+                        {{"replica", added.record.id.value()},
+                         {"service", added.record.service.value()},
+                         {"address", to_string(added.record.address)},
+                         {"revision", number_text(m_mirror.as_of().value())}},
+                        boot_now());
+}
+
+void gateway::replica_left(const replica& left, removal why)
+{
+    m_pool.replica_left(left);
+    m_log.write("replica_left", {{"replica", left.record.id.value()},
+                                 {"service", left.record.service.value()},
+                                 {"why", std::string{to_string(why)}},
+                                 {"revision", number_text(m_mirror.as_of().value())}});
+}
+
+// ---- Requests
+
+void gateway::on_request(session_id session, inbound_request inbound)
+{
+    if (m_table == nullptr || !m_has_snapshot)
+        return refuse(session, inbound, status_unavailable, "no_configuration");
+    const std::string_view target = inbound.request.target;
+    const route* on = m_table->match(inbound.host, target.substr(0, target.find('?')));
+    if (on == nullptr)
+    {
+        ++m_not_found;
+        return refuse(session, inbound, status_not_found, "no_route");
+    }
+    const duration round_trip =
+        inbound.round_trip.count() > 0 ? inbound.round_trip : default_round_trip;
+    inbound.request.transit = (inbound.is_first ? 2 : 1) * round_trip + processing_margin;
+    const exchange_id exchange{m_next_exchange++};
+    m_sessions[exchange.value()] = session;
+    m_exchanges[session.value()] = exchange;
+    m_forwarder.begin(exchange, std::make_shared<const caller_request>(std::move(inbound.request)),
+                      m_table, *on, boot_now());
+}
+
+void gateway::refuse(session_id session, const inbound_request& request, int status,
+                     std::string_view why)
+{
+    m_log.write_limited("request_refused",
+                        {{"request", request.request.id.value()},
+                         {"host_name", request.host},
+                         {"status", std::to_string(status)},
+                         {"cause", std::string{why}},
+                         {"version", number_text(m_table ? m_table->version().value() : 0)}},
+                        boot_now());
+    caller_answer answer{.status = status};
+    if (status == status_unavailable)
+        answer.retry_after = starting_retry_after;
+    m_ingress.respond(session, answer);
+}
+
+void gateway::on_caller_left(session_id session)
+{
+    const auto found = m_exchanges.find(session.value());
+    if (found != m_exchanges.end())
+        m_forwarder.cancel(exchange_id{found->second}, boot_now());
+}
+
+void gateway::on_rejected(int status, std::string_view why)
+{
+    m_log.write_limited("request_rejected",
+                        {{"status", std::to_string(status)}, {"why", std::string{why}}},
+                        boot_now());
+}
+
+void gateway::answer(exchange_id exchange, caller_answer answer)
+{
+    const auto found = m_sessions.find(exchange.value());
+    if (found == m_sessions.end())
+        return;
+    const session_id session = found->second;
+    forget(exchange);
+    m_ingress.respond(session, answer);
+}
+
+void gateway::wake_at(exchange_id exchange, time_point when)
+{
+    std::unique_ptr<boost::asio::steady_timer>& timer = m_timers[exchange.value()];
+    if (timer == nullptr)
+        timer = std::make_unique<boost::asio::steady_timer>(m_io);
+    timer->expires_after(when - boot_now());
+    timer->async_wait(
+        [this, exchange](boost::system::error_code error)
+        {
+            if (!error)
+                m_forwarder.wake(exchange, boot_now());
+        });
+}
+
+void gateway::forget(exchange_id exchange)
+{
+    const auto found = m_sessions.find(exchange.value());
+    if (found == m_sessions.end())
+        return;
+    m_exchanges.erase(found->second.value());
+    m_sessions.erase(found);
+}
+
+void gateway::finished(const exchange_summary& summary)
+{
+    m_timers.erase(summary.id.value());
+    if (summary.status == 0)
+        forget(summary.id);
+    const bool is_whole = summary.cause == "complete";
+    (is_whole ? m_success_latency : m_other_latency).record(summary.took);
+    if (is_whole && summary.took <= summary.on->latency_objective && summary.extra_attempts == 0)
+        return;
+    m_log.write_limited(
+        "request_done",
+        {{"request", summary.request->id.value()},
+         {"route", summary.on->name},
+         {"version", number_text(summary.version.value())},
+         {"status", std::to_string(summary.status)},
+         {"cause", std::string{summary.cause}},
+         {"ms", std::to_string(summary.took.count() / 1000)},
+         {"parts", number_text(summary.parts) + "/" + number_text(summary.expected_parts)},
+         {"attempts", number_text(summary.attempts)},
+         {"extra", number_text(summary.extra_attempts)},
+         {"missing", summary.missing.empty() ? "-" : summary.missing},
+         {"store", m_mirror.is_connected() ? "connected" : "lost"}},
+        boot_now());
+}
+
+// ---- Time and the end
+
+void gateway::schedule_tick()
+{
+    m_tick_timer.expires_after(tick_interval);
+    m_tick_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (error)
+                return;
+            tick();
+            schedule_tick();
+        });
+}
+
+void gateway::tick()
+{
+    const time_point now = boot_now();
+    m_registry.tick(now);
+    m_pool.tick(now);
+    m_ingress.tick(now);
+    m_directory.tick(now);
+    if (m_is_stopping)
+        finish_if_quiet(now);
+}
+
+void gateway::stop(std::function<void()> stopped)
+{
+    if (m_is_stopping)
+        return;
+    m_log.write("stopping", {{"under_way", number_text(m_forwarder.under_way())}});
+    m_is_stopping = true;
+    m_stop_begun = boot_now();
+    m_stopped = std::move(stopped);
+    m_ingress.close_after_answers();
+    publish_self();
+}
+
+void gateway::finish_if_quiet(time_point now)
+{
+    const duration since = now - m_stop_begun;
+    const bool is_quiet = m_forwarder.under_way() == 0 && m_ingress.busy_sessions() == 0;
+    const bool is_over = since >= m_settings.stop_within - stop_margin;
+    if (since >= accept_while_stopping)
+        m_ingress.stop();
+    if (!is_over && (!is_quiet || since < accept_while_stopping))
+        return;
+    if (m_stopped == nullptr)
+        return;
+    m_log.write("stop", {{"under_way", number_text(m_forwarder.under_way())},
+                         {"after_ms", std::to_string(since.count() / 1000)}});
+    m_registration.withdraw();
+    std::exchange(m_stopped, nullptr)();
+}
+
+void gateway::reload(const gateway_settings& settings)
+{
+    m_settings.retry_ratio = settings.retry_ratio;
+    m_settings.retry_slack = settings.retry_slack;
+    m_settings.address_validity = settings.address_validity;
+    m_settings.stop_within = settings.stop_within;
+    m_log.write("reloaded",
+                {{"retry_slack", std::to_string(m_settings.retry_slack)},
+                 {"address_validity_s", std::to_string(m_settings.address_validity.count())}});
+    hosts_changed();
+}
+
+// ---- Reports
+
+std::string gateway::metrics() const
+{
+    const forwarder_counters& counts = m_forwarder.counters();
+    const shared_store_calls calls = m_store.calls();
+    std::string text;
+    const auto add = [&text](std::string_view name, std::uint64_t value)
+    { text.append("tanagerspur_").append(name).append(" ").append(number_text(value)) += '\n'; };
+    add("requests_total", counts.begun);
+    add("answers_total{outcome=\"complete\"}", counts.succeeded);
+    add("answers_total{outcome=\"partial\"}", counts.partial);
+    add("answers_total{outcome=\"refused\"}", counts.refused);
+    add("answers_total{outcome=\"failed\"}", counts.failed);
+    add("answers_total{outcome=\"timed_out\"}", counts.timed_out);
+    add("answers_total{outcome=\"caller_left\"}", counts.left_by_caller);
+    add("answers_total{outcome=\"no_route\"}", m_not_found);
+    add("attempts_total", counts.attempts);
+    add("attempts_extra_total{why=\"hedge\"}", counts.hedges);
+    add("attempts_extra_total{why=\"retry\"}", counts.retries);
+    add("attempts_denied_by_budget_total", counts.budget_denied);
+    add("requests_under_way", m_forwarder.under_way());
+    add("replica_connections", m_pool.open_connections());
+    add("replica_connections_opened_total", m_pool.counters().connections_opened);
+    add("replica_connections_failed_total", m_pool.counters().connections_failed);
+    add("replica_connections_lost_total", m_pool.counters().connections_lost);
+    add("caller_connections", m_ingress.open_sessions());
+    add("replicas", m_registry.size());
+    add("hosts_ready", m_directory.ready_hosts());
+    add("ready", is_ready() ? 1 : 0);
+    add("store_connected", m_mirror.is_connected() ? 1 : 0);
+    add("store_revision", m_mirror.as_of().value());
+    add("configuration_version", m_table ? m_table->version().value() : 0);
+    add("store_calls_total{kind=\"range\"}", calls.ranges);
+    add("store_calls_total{kind=\"watch\"}", calls.watches);
+    add("store_calls_total{kind=\"write\"}", calls.writes);
+    add("store_calls_total{kind=\"renewal\"}", calls.renewals);
+    add("store_calls_failed_total", calls.failures);
+    add("store_values_malformed_total", m_malformed);
+    add("log_lines_left_out_total", m_log.left_out());
+    for (const auto& [name, histogram] :
+         {std::pair{"complete", &m_success_latency}, std::pair{"other", &m_other_latency}})
+        for (const auto& [label, fraction] :
+             {std::pair{"0.5", 0.5}, std::pair{"0.9", 0.9}, std::pair{"0.99", 0.99}})
+            add(std::string{"answer_latency_us{outcome=\""} + name + "\",quantile=\"" + label +
+                    "\"}",
+                static_cast<std::uint64_t>(histogram->quantile(fraction).count()));
+    return text;
+}
+
+std::string gateway::dump() const
+{
+    const time_point now = boot_now();
+    boost::json::array services;
+    if (m_table != nullptr)
+        for (const auto& [service, rule] : m_table->configuration().services)
+        {
+            boost::json::array replicas;
+            for (const replica_ref& each : m_registry.of_service(service))
+                replicas.push_back(boost::json::object{
+                    {"id", each->record.id.value()},
+                    {"address", to_string(each->record.address)},
+                    {"zone", each->record.zone.value()},
+                    {"expected_ratio", each->estimate.expected_ratio(now, each->record.slots)},
+                    {"failure_share", each->estimate.failure_share(now)},
+                    {"in_flight", each->estimate.in_flight()},
+                    {"is_reachable", each->estimate.is_reachable(now)}});
+            services.push_back(
+                boost::json::object{{"service", service.value()}, {"replicas", replicas}});
+        }
+    return boost::json::serialize(boost::json::object{
+               {"host", m_settings.id.value()},
+               {"is_ready", is_ready()},
+               {"is_stopping", m_is_stopping},
+               {"uptime_ms", (now - m_started).count() / 1000},
+               {"configuration_version", m_table ? m_table->version().value() : 0},
+               {"store_connected", m_mirror.is_connected()},
+               {"store_revision", m_mirror.as_of().value()},
+               {"known_hosts", m_directory.known_hosts()},
+               {"ready_hosts", m_directory.ready_hosts()},
+               {"under_way", m_forwarder.under_way()},
+               {"services", services}}) +
+           "\n";
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/gateway/gateway.hpp
@@ -0,0 +1,128 @@
+// The forwarding daemon of one host: joins the mirror of the platform's store, the registry, the
+// forwarder, the connections to replicas and the server for callers. Everything runs on one
+// thread, that of the io_context; only log lines are written by another.
+//
+//   gateway host{io, settings, dialect, codec, store};
+//   std::string error = host.start();
+//   io.run();          // returns after stop() once requests have ended
+
+#ifndef TANAGERSPUR_GATEWAY_GATEWAY_HPP
+#define TANAGERSPUR_GATEWAY_GATEWAY_HPP
+
+#include "tanagerspur/common/event_log.hpp"
+#include "tanagerspur/common/latency_histogram.hpp"
+#include "tanagerspur/forwarding/forwarder.hpp"
+#include "tanagerspur/gateway/host_directory.hpp"
+#include "tanagerspur/gateway/settings.hpp"
+#include "tanagerspur/net/ingress_server.hpp"
+#include "tanagerspur/net/replica_pool.hpp"
+#include "tanagerspur/registry/replica_registry.hpp"
+#include "tanagerspur/store/host_registration.hpp"
+#include "tanagerspur/store/store_codec.hpp"
+#include "tanagerspur/store/store_mirror.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <unordered_map>
+
+namespace tanagerspur
+{
+
+class gateway final : private mirror_observer,
+                      private registry_observer,
+                      private forwarder_environment,
+                      private ingress_handler
+{
+public:
+    gateway(boost::asio::io_context& io, gateway_settings settings, wire_dialect dialect,
+            const store_codec& codec, shared_store& store);
+    ~gateway() override;
+
+    // Listens for callers and starts to read the store; an error text, or an empty one.
+    std::string start();
+
+    // Tells callers to go elsewhere, answers what was read, and then calls the handler.
+    void stop(std::function<void()> stopped);
+
+    // Takes over settings that may change while the daemon runs.
+    void reload(const gateway_settings& settings);
+
+    // True while callers may be sent here.
+    bool is_ready() const;
+    std::vector<endpoint> addresses(const zone_id& caller_zone, std::size_t most) const;
+    std::chrono::seconds address_validity() const { return m_settings.address_validity; }
+
+    // Counters and latencies as text in the Prometheus exposition format.
+    std::string metrics() const;
+    // The state of every aggregate, as JSON.
+    std::string dump() const;
+
+private:
+    void on_snapshot(const std::vector<store_change>& items) override;
+    void on_change(const store_change& change) override;
+    void on_store_lost() override;
+    void on_store_regained() override;
+
+    void replica_added(const replica& added) override;
+    void replica_left(const replica& left, removal why) override;
+
+    void send(const attempt_order& order) override { m_pool.send(order); }
+    void end_by(std::uint64_t attempt, time_point end) override { m_pool.end_by(attempt, end); }
+    void abort(std::uint64_t attempt) override { m_pool.abort(attempt); }
+    bool has_room(const replica& at) override { return m_pool.has_room(at); }
+    void answer(exchange_id exchange, caller_answer answer) override;
+    void wake_at(exchange_id exchange, time_point when) override;
+    void finished(const exchange_summary& summary) override;
+
+    void on_request(session_id session, inbound_request request) override;
+    void on_caller_left(session_id session) override;
+    void on_rejected(int status, std::string_view why) override;
+
+    void apply_configuration(const std::string& value);
+    void apply_replica(const replica_id& id, const std::string& value);
+    void apply_host(const host_id& id, const std::string& value);
+    void hosts_changed();
+    void publish_self();
+    void refuse(session_id session, const inbound_request& request, int status,
+                std::string_view why);
+    void forget(exchange_id exchange);
+    void schedule_tick();
+    void tick();
+    void finish_if_quiet(time_point now);
+    time_point keep_until() const;
+
+    boost::asio::io_context& m_io;
+    gateway_settings m_settings;
+    wire_dialect m_dialect;
+    const store_codec& m_codec;
+    shared_store& m_store;
+    event_log m_log;
+    replica_registry m_registry;
+    replica_pool m_pool;
+    forwarder m_forwarder;
+    ingress_server m_ingress;
+    store_mirror m_mirror;
+    host_registration m_registration;
+    host_directory m_directory;
+    std::shared_ptr<const route_table> m_table;
+    std::unordered_map<std::uint64_t, std::unique_ptr<boost::asio::steady_timer>> m_timers;
+    // Which exchange serves a session's request, and the other way round.
+    std::unordered_map<std::uint64_t, session_id> m_sessions;
+    std::unordered_map<std::uint64_t, exchange_id> m_exchanges;
+    std::uint64_t m_next_exchange = 1;
+    boost::asio::steady_timer m_tick_timer;
+    bool m_has_snapshot = false;
+    bool m_is_stopping = false;
+    time_point m_started;
+    time_point m_stop_begun{};
+    std::function<void()> m_stopped;
+    std::uint64_t m_malformed = 0;
+    std::uint64_t m_not_found = 0;
+    latency_histogram m_success_latency;
+    latency_histogram m_other_latency;
+};
+
+} // namespace tanagerspur
+
+#endif
--- a/tanagerspur/net/http_connection.cpp
+++ b/tanagerspur/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "tanagerspur/net/http_connection.hpp"
 
 #include "tanagerspur/common/text.hpp"
+#include "tanagerspur/net/socket_options.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -87,10 +88,9 @@
     m_stream.async_connect(tcp::endpoint{address, m_peer.port},
                            [self = self(), handler](error_code connect_error)
                            {
-                               error_code ignored;
                                self->m_open = !connect_error;
                                if (self->m_open)
-                                   self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+                                   set_long_lived(self->m_stream.socket());
                                handler(self->m_open);
                            });
 }
--- /dev/null
+++ b/tanagerspur/net/ingress_server.hpp
@@ -0,0 +1,98 @@
+// The HTTP/1.1 server for callers' requests that are forwarded unchanged. It reads whole requests
+// within the caller limits, keeps the order and case of their fields, and tells when a caller
+// leaves before its answer. http_server serves the tier's own calls.
+
+#ifndef TANAGERSPUR_NET_INGRESS_SERVER_HPP
+#define TANAGERSPUR_NET_INGRESS_SERVER_HPP
+
+#include "tanagerspur/common/endpoint.hpp"
+#include "tanagerspur/forwarding/messages.hpp"
+#include "tanagerspur/net/wire_dialect.hpp"
+#include "tanagerspur/routing/route_table.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace tanagerspur
+{
+
+namespace detail
+{
+class ingress_session;
+}
+
+using session_id = detail::strong_id<struct session_tag, std::uint64_t>;
+
+// A request as it was read.
+struct inbound_request
+{
+    caller_request request;
+    // Value of the Host field.
+    std::string host;
+    // Smoothed round trip to the caller; zero when it is not known.
+    duration round_trip{0};
+    // The caller opened the connection for this request.
+    bool is_first = false;
+};
+
+class ingress_handler
+{
+public:
+    virtual ~ingress_handler() = default;
+    // A whole request; it is answered once by ingress_server::respond, unless its caller left.
+    virtual void on_request(session_id session, inbound_request request) = 0;
+    // The caller closed its connection before the answer.
+    virtual void on_caller_left(session_id session) = 0;
+    // A request that breaks the protocol or a limit was answered with the status.
+    virtual void on_rejected(int status, std::string_view why) = 0;
+};
+
+class ingress_server
+{
+public:
+    ingress_server(boost::asio::io_context& io, const wire_dialect& dialect,
+                   ingress_handler& handler);
+    ~ingress_server();
+
+    // Binds and listens; an error text, or an empty one on success.
+    std::string start(const endpoint& listen);
+
+    void set_limits(const caller_limits& limits) { m_limits = limits; }
+
+    // Answers the session's request.
+    void respond(session_id session, const caller_answer& answer);
+
+    // From now on every answer closes its connection.
+    void close_after_answers() { m_is_closing = true; }
+    // Accepts no more connections and closes those without a request.
+    void stop();
+
+    // Closes connections that are idle or slow beyond the limits.
+    void tick(time_point now);
+
+    std::size_t open_sessions() const { return m_sessions.size(); }
+    std::size_t busy_sessions() const;
+
+private:
+    friend class detail::ingress_session;
+
+    void accept();
+    void remove(session_id session);
+
+    boost::asio::io_context& m_io;
+    const wire_dialect& m_dialect;
+    ingress_handler& m_handler;
+    caller_limits m_limits;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::unordered_map<std::uint64_t, std::shared_ptr<detail::ingress_session>> m_sessions;
+    std::uint64_t m_next_session = 1;
+    bool m_is_closing = false;
+};
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/net/replica_connection.cpp
@@ -0,0 +1,272 @@
+#include "tanagerspur/net/replica_connection.hpp"
+
+#include "tanagerspur/net/header_fields.hpp"
+#include "tanagerspur/net/http_message.hpp"
+#include "tanagerspur/net/socket_options.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <charconv>
+
+namespace tanagerspur
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+// Largest answer that is kept in memory; larger ones fail the request.
+constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t read_bytes = 8 * 1024;
+constexpr int status_misdirected = 421;
+
+std::optional<reported_load> parse_load(std::string_view text)
+{
+    reported_load load;
+    const char* at = text.data();
+    const char* const end = at + text.size();
+    for (std::uint32_t* figure : {&load.running, &load.waiting, &load.slots})
+    {
+        const auto [stop, code] = std::from_chars(at, end, *figure);
+        if (code != std::errc{})
+            return std::nullopt;
+        at = stop;
+        if (at != end && *at == ',')
+            ++at;
+    }
+    return load;
+}
+
+} // namespace
+
+replica_connection::replica_connection(asio::io_context& io, const wire_dialect& dialect,
+                                       observer& told)
+    : m_socket(io)
+    , m_dialect(dialect)
+    , m_observer(&told)
+    , m_since(boot_now())
+{
+}
+
+void replica_connection::enter(state next)
+{
+    m_state = next;
+    m_since = boot_now();
+}
+
+void replica_connection::open(const endpoint& peer)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(peer.address, error);
+    m_socket.async_connect(asio::ip::tcp::endpoint{address, peer.port},
+                           [self = shared_from_this()](error_code connect_error)
+                           {
+                               if (self->m_state != state::connecting)
+                                   return;
+                               if (connect_error)
+                                   return self->close(attempt_result::not_sent,
+                                                      connect_error.message());
+                               set_long_lived(self->m_socket);
+                               self->enter(state::idle);
+                               self->read_more();
+                               if (self->m_observer != nullptr)
+                                   self->m_observer->opened(*self);
+                           });
+}
+
+void replica_connection::send(std::string bytes, std::string expected_id, time_point now)
+{
+    m_out = std::move(bytes);
+    m_expected_id = std::move(expected_id);
+    m_state = state::busy;
+    m_since = now;
+    m_is_written = false;
+    start_parser();
+    asio::async_write(m_socket, asio::buffer(m_out),
+                      [self = shared_from_this()](error_code error, std::size_t)
+                      {
+                          self->m_is_written = !error;
+                          // The read side tells the outcome: an answer may be on its way.
+                      });
+}
+
+void replica_connection::start_parser()
+{
+    m_parser.emplace();
+    m_parser->body_limit(max_answer_bytes);
+    m_parser->eager(true);
+}
+
+void replica_connection::read_more()
+{
+    m_socket.async_read_some(m_buffer.prepare(read_bytes),
+                             [self = shared_from_this()](error_code error, std::size_t size)
+                             { self->on_read(error, size); });
+}
+
+void replica_connection::on_read(error_code error, std::size_t size)
+{
+    if (m_state == state::closed)
+        return;
+    if (error)
+        return end_of_input(error);
+    m_buffer.commit(size);
+    if (m_state != state::busy)
+        return close(attempt_result::failed, "bytes without a request");
+    parse();
+    if (m_state != state::closed)
+        read_more();
+}
+
+void replica_connection::parse()
+{
+    while (m_state == state::busy && m_buffer.size() > 0)
+    {
+        error_code error;
+        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        if (error == http::error::need_more)
+            return;
+        if (error)
+            return close(attempt_result::failed, error.message());
+        if (m_parser->is_done())
+            finish_answer();
+        else if (used == 0)
+            return;
+    }
+    if (m_state == state::idle && m_buffer.size() > 0)
+        close(attempt_result::failed, "bytes after an answer");
+}
+
+void replica_connection::end_of_input(error_code error)
+{
+    // An answer without a length ends with its connection, if that ends in order.
+    const bool is_unframed = m_state == state::busy && error == asio::error::eof &&
+                             m_parser->is_header_done() && m_parser->need_eof();
+    if (is_unframed)
+    {
+        error_code parse_error;
+        m_parser->put_eof(parse_error);
+        if (!parse_error && m_parser->is_done())
+        {
+            m_is_spoiled = true;
+            return finish_answer();
+        }
+    }
+    close(attempt_result::failed, error.message());
+}
+
+std::string_view replica_connection::field(const std::string& name) const
+{
+    const auto value = m_parser->get()[name];
+    return {value.data(), value.size()};
+}
+
+// A refusal may come without an id, but not on a connection that has shown foreign bytes.
+bool replica_connection::is_expected_id() const
+{
+    const std::string_view id = field(m_dialect.request_id);
+    if (!id.empty())
+        return id == m_expected_id;
+    const bool is_refusal =
+        !field(m_dialect.not_run).empty() || m_parser->get().result_int() == status_misdirected;
+    return is_refusal ? !m_is_spoiled : field(m_dialect.signature).empty() == false;
+}
+
+void replica_connection::note_keep_alive()
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string_view text = field("Keep-Alive");
+    const auto at = text.find(key);
+    if (at == std::string_view::npos)
+        return;
+    const std::string_view digits = text.substr(at + key.size());
+    long long seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (seconds > 0)
+        m_idle_limit = std::chrono::seconds{seconds};
+}
+
+void replica_connection::finish_answer()
+{
+    if (m_parser->get().result() == http::status::continue_)
+        return start_parser();
+    if (!is_expected_id())
+    {
+        // A late or doubled answer to an earlier request: the one that is waited for may follow.
+        m_is_spoiled = true;
+        return start_parser();
+    }
+    auto& message = m_parser->get();
+    attempt_outcome outcome{.result = attempt_result::answered};
+    outcome.load = parse_load(field(m_dialect.load));
+    outcome.answer.status = static_cast<int>(message.result_int());
+    outcome.is_misdirected = outcome.answer.status == status_misdirected;
+    if (outcome.is_misdirected || !field(m_dialect.not_run).empty())
+        outcome.result = attempt_result::refused;
+    outcome.answer.reason = std::string{message.reason()};
+    outcome.answer.signature = std::string{field(m_dialect.signature)};
+    outcome.answer.fields = end_to_end_fields(message, {});
+    const bool keep = message.keep_alive() && !m_is_spoiled && m_is_written;
+    note_keep_alive();
+    const bool is_unsigned_success =
+        outcome.result == attempt_result::answered && outcome.answer.is_success() &&
+        (outcome.answer.signature.empty() || !field("Content-Encoding").empty());
+    outcome.answer.body = std::move(message.body());
+    if (is_unsigned_success)
+    {
+        outcome.result = attempt_result::failed;
+        outcome.detail = "success that is not the replica's";
+    }
+    end_request(std::move(outcome), keep);
+}
+
+void replica_connection::end_request(attempt_outcome outcome, bool keep)
+{
+    enter(state::idle);
+    if (!keep || m_buffer.size() > 0)
+    {
+        error_code ignored;
+        m_socket.close(ignored);
+        enter(state::closed);
+    }
+    if (m_observer != nullptr)
+        m_observer->ended(*this, std::move(outcome));
+}
+
+// The observer hears of it in a later turn, since it may be the one that calls.
+void replica_connection::close(attempt_result result, std::string_view detail)
+{
+    if (m_state == state::closed)
+        return;
+    const bool was_busy = m_state == state::busy;
+    error_code ignored;
+    m_socket.close(ignored);
+    enter(state::closed);
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), was_busy, result, text = std::string{detail}]
+               {
+                   if (self->m_observer == nullptr)
+                       return;
+                   if (was_busy)
+                       self->m_observer->ended(*self, {.result = result, .detail = text});
+                   else
+                       self->m_observer->closed(*self);
+               });
+}
+
+void replica_connection::detach()
+{
+    m_observer = nullptr;
+    error_code ignored;
+    m_socket.close(ignored);
+    m_state = state::closed;
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/registry/replica_registry.cpp
@@ -0,0 +1,147 @@
+#include "tanagerspur/registry/replica_registry.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace tanagerspur
+{
+
+std::string_view to_string(removal value)
+{
+    switch (value)
+    {
+    case removal::removed:
+        return "removed";
+    case removal::draining:
+        return "draining";
+    case removal::replaced:
+        return "replaced";
+    case removal::lapsed:
+        return "lapsed";
+    }
+    return "unknown";
+}
+
+replica_registry::replica_registry(registry_options options, registry_observer& observer)
+    : m_options(options)
+    , m_observer(observer)
+{
+}
+
+void replica_registry::put(const replica_record& record, time_point now)
+{
+    std::uint64_t& latest = m_started_ms[record.id];
+    if (record.started_ms < latest)
+        return;
+    latest = record.started_ms;
+    m_missing.erase(record.id);
+    const auto found = m_by_id.find(record.id);
+    if (record.state == replica_state::draining)
+    {
+        if (found != m_by_id.end())
+            take_out(record.id, removal::draining);
+        return;
+    }
+    if (found == m_by_id.end())
+        return add(record, now);
+    replica_record& known = found->second->record;
+    const bool is_same = known.started_ms == record.started_ms && known.address == record.address &&
+                         known.service == record.service;
+    if (!is_same)
+    {
+        take_out(record.id, removal::replaced);
+        return add(record, now);
+    }
+    known = record;
+    found->second->estimate.warming_until(now + record.warmup_left);
+}
+
+void replica_registry::add(const replica_record& record, time_point now)
+{
+    auto made = std::make_shared<replica>();
+    made->record = record;
+    made->number = m_next_number++;
+    made->estimate.warming_until(now + record.warmup_left);
+    m_by_id[record.id] = made;
+    m_by_service[record.service].push_back(made);
+    m_observer.replica_added(*made);
+}
+
+void replica_registry::take_out(const replica_id& id, removal why)
+{
+    const auto found = m_by_id.find(id);
+    if (found == m_by_id.end())
+        return;
+    const replica_ref left = found->second;
+    m_by_id.erase(found);
+    m_missing.erase(id);
+    std::erase(m_by_service[left->record.service], left);
+    m_observer.replica_left(*left, why);
+}
+
+bool replica_registry::in_grace(time_point now) const
+{
+    return m_store_lost || now < m_grace_end;
+}
+
+void replica_registry::remove(const replica_id& id, time_point now)
+{
+    const auto found = m_by_id.find(id);
+    if (found == m_by_id.end() || m_missing.contains(id))
+        return;
+    const bool is_last = of_service(found->second->record.service).size() == 1;
+    if (in_grace(now) || is_last)
+        m_missing[id] = std::max(m_grace_end, now + m_options.return_grace);
+    else
+        take_out(id, removal::removed);
+}
+
+void replica_registry::replace_all(const std::vector<replica_record>& records, time_point now)
+{
+    std::set<replica_id> listed;
+    for (const replica_record& each : records)
+        listed.insert(each.id);
+    std::vector<replica_id> absent;
+    for (const auto& [id, known] : m_by_id)
+        if (!listed.contains(id))
+            absent.push_back(id);
+    for (const replica_id& id : absent)
+        remove(id, now);
+    std::erase_if(m_started_ms, [&](const auto& each)
+                  { return !listed.contains(each.first) && !m_by_id.contains(each.first); });
+    for (const replica_record& each : records)
+        put(each, now);
+}
+
+void replica_registry::store_lost(time_point /*now*/)
+{
+    m_store_lost = true;
+}
+
+void replica_registry::store_regained(time_point now)
+{
+    if (m_store_lost)
+        m_grace_end = now + m_options.return_grace;
+    m_store_lost = false;
+}
+
+void replica_registry::tick(time_point now)
+{
+    if (m_missing.empty() || in_grace(now))
+        return;
+    std::vector<replica_id> gone;
+    for (const auto& [id, end] : m_missing)
+        if (now >= end)
+            gone.push_back(id);
+    for (const replica_id& id : gone)
+        take_out(id, removal::lapsed);
+}
+
+const std::vector<replica_ref>& replica_registry::of_service(const service_id& service) const
+{
+    static const std::vector<replica_ref> none;
+    const auto found = m_by_service.find(service);
+    return found == m_by_service.end() ? none : found->second;
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -0,0 +1,128 @@
+// The replicas that the platform's store lists, by service, and what is known of each.
+//
+// A replica that says that it is draining, or whose entry is removed, gets no new work at once.
+// Entries that vanish because the store itself was away are kept for a grace period after its
+// return, since living replicas register again within it. So is the last entry of a service: an
+// outage that this host did not notice looks the same, and nothing could serve in its place.
+
+#ifndef TANAGERSPUR_REGISTRY_REPLICA_REGISTRY_HPP
+#define TANAGERSPUR_REGISTRY_REPLICA_REGISTRY_HPP
+
+#include "tanagerspur/common/endpoint.hpp"
+#include "tanagerspur/common/ids.hpp"
+#include "tanagerspur/registry/replica_estimate.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace tanagerspur
+{
+
+enum class replica_state
+{
+    ready,
+    draining
+};
+
+// An entry as it was read from the store.
+struct replica_record
+{
+    replica_id id;
+    service_id service;
+    endpoint address;
+    zone_id zone;
+    std::uint32_t slots = 1;
+    replica_state state = replica_state::ready;
+    // Time until the replica has its full speed.
+    duration warmup_left{0};
+    // Start of this incarnation, Unix milliseconds; 0 when the entry does not tell.
+    std::uint64_t started_ms = 0;
+};
+
+// A replica in use. Shared, since requests under way outlive its entry.
+struct replica
+{
+    replica_record record;
+    replica_estimate estimate;
+    // Distinguishes this replica object from all others of the process.
+    std::uint64_t number = 0;
+};
+
+using replica_ref = std::shared_ptr<replica>;
+
+struct registry_options
+{
+    // Time after the store's return in which vanished entries may come back.
+    duration return_grace = std::chrono::milliseconds{2'200};
+};
+
+// Why a replica left the registry; for logs.
+enum class removal
+{
+    removed,  // its entry was removed
+    draining, // it announced that it leaves
+    replaced, // another incarnation has its id
+    lapsed    // its entry did not come back after an outage of the store
+};
+
+std::string_view to_string(removal value);
+
+// Told about changes, so that connections can be closed and logs written.
+class registry_observer
+{
+public:
+    virtual ~registry_observer() = default;
+    virtual void replica_added(const replica& added) = 0;
+    virtual void replica_left(const replica& left, removal why) = 0;
+};
+
+class replica_registry
+{
+public:
+    replica_registry(registry_options options, registry_observer& observer);
+
+    // An entry was written.
+    void put(const replica_record& record, time_point now);
+
+    // An entry was removed, or became unusable.
+    void remove(const replica_id& id, time_point now);
+
+    // The whole list was read: entries that it lacks are removed.
+    void replace_all(const std::vector<replica_record>& records, time_point now);
+
+    // The store became unreachable, or can be reached again.
+    void store_lost(time_point now);
+    void store_regained(time_point now);
+
+    // Ends grace periods.
+    void tick(time_point now);
+
+    // Replicas that may get new work.
+    const std::vector<replica_ref>& of_service(const service_id& service) const;
+
+    std::size_t size() const { return m_by_id.size(); }
+
+private:
+    void add(const replica_record& record, time_point now);
+    void take_out(const replica_id& id, removal why);
+    bool in_grace(time_point now) const;
+
+    registry_options m_options;
+    registry_observer& m_observer;
+    std::map<replica_id, replica_ref> m_by_id;
+    std::map<service_id, std::vector<replica_ref>> m_by_service;
+    // Entries that vanished and may come back, and until when.
+    std::map<replica_id, time_point> m_missing;
+    // Latest incarnation seen for an id, so that a late write of an earlier one is ignored.
+    std::map<replica_id, std::uint64_t> m_started_ms;
+    bool m_store_lost = false;
+    time_point m_grace_end{};
+    std::uint64_t m_next_number = 1;
+};
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/routing/split_picker.cpp
@@ -0,0 +1,34 @@
+#include "tanagerspur/routing/split_picker.hpp"
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+// Smooth weighted round robin: each service earns its weight with every request, and the one with
+// the most credit pays the total.
+const service_id& split_picker::pick(const route& from)
+{
+    if (from.services.size() == 1)
+        return from.services.front().service;
+    cycle& at = m_cycles[from.name];
+    if (at.services != from.services)
+    {
+        at.services = from.services;
+        at.credits.clear();
+        for (const weighted_service& each : from.services)
+            at.credits.push_back(
+                std::uniform_real_distribution<>{0.0, static_cast<double>(each.weight)}(m_random));
+    }
+    double total = 0;
+    for (std::size_t i = 0; i < at.credits.size(); ++i)
+    {
+        at.credits[i] += from.services[i].weight;
+        total += from.services[i].weight;
+    }
+    const auto most = std::max_element(at.credits.begin(), at.credits.end());
+    *most -= total;
+    return from.services[static_cast<std::size_t>(most - at.credits.begin())].service;
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/store/host_registration.cpp
@@ -0,0 +1,108 @@
+#include "tanagerspur/store/host_registration.hpp"
+
+namespace tanagerspur
+{
+
+host_registration::host_registration(boost::asio::io_context& io, shared_store& store,
+                                     registration_options options)
+    : m_store(store)
+    , m_options(std::move(options))
+    , m_timer(io)
+{
+}
+
+void host_registration::publish(const std::string& value)
+{
+    if (m_value == value || m_is_withdrawn)
+        return;
+    m_value = value;
+    m_is_written = false;
+    step();
+}
+
+void host_registration::entry_lost()
+{
+    if (m_value.empty() || m_is_withdrawn || !m_is_written)
+        return;
+    m_is_written = false;
+    step();
+}
+
+void host_registration::withdraw()
+{
+    m_is_withdrawn = true;
+    m_timer.cancel();
+    if (m_lease)
+        m_store.end_lease(*m_lease, [](store_outcome) {});
+}
+
+void host_registration::schedule(duration wait)
+{
+    if (m_is_withdrawn)
+        return;
+    m_timer.expires_after(wait);
+    m_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+                step();
+        });
+}
+
+// One call at a time: open a lease, write the entry under it, then renew.
+void host_registration::step()
+{
+    if (m_is_calling || m_is_withdrawn)
+        return;
+    m_is_calling = true;
+    if (!m_lease)
+    {
+        m_store.open_lease(m_options.lease_length,
+                           [this](const lease_grant& grant)
+                           {
+                               m_is_calling = false;
+                               if (grant.outcome != store_outcome::ok)
+                                   return schedule(m_options.retry_interval);
+                               m_lease = grant.lease;
+                               m_is_written = false;
+                               step();
+                           });
+        return;
+    }
+    if (!m_is_written)
+        return write();
+    m_store.renew_lease(*m_lease,
+                        [this](store_outcome outcome)
+                        {
+                            m_is_calling = false;
+                            if (outcome == store_outcome::ok)
+                                return schedule(m_options.renew_interval);
+                            if (outcome == store_outcome::no_lease)
+                            {
+                                m_lease.reset();
+                                return step();
+                            }
+                            schedule(m_options.retry_interval);
+                        });
+}
+
+void host_registration::write()
+{
+    const std::string value = m_value;
+    m_store.put(m_options.key, value, *m_lease,
+                [this, value](store_outcome outcome)
+                {
+                    m_is_calling = false;
+                    if (outcome == store_outcome::no_lease)
+                    {
+                        m_lease.reset();
+                        return step();
+                    }
+                    if (outcome != store_outcome::ok)
+                        return schedule(m_options.retry_interval);
+                    m_is_written = m_value == value;
+                    schedule(m_is_written ? m_options.renew_interval : m_options.retry_interval);
+                });
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/store/host_registration.hpp
@@ -0,0 +1,58 @@
+// Keeps this host's entry in the store while it serves, under a lease, so that the others know
+// where callers can be sent. The entry is written again when the lease was lost, or when the
+// entry has vanished all the same.
+
+#ifndef TANAGERSPUR_STORE_HOST_REGISTRATION_HPP
+#define TANAGERSPUR_STORE_HOST_REGISTRATION_HPP
+
+#include "tanagerspur/store/shared_store.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace tanagerspur
+{
+
+struct registration_options
+{
+    std::string key;
+    // The entry of a host that was lost is gone after this time.
+    duration lease_length = std::chrono::seconds{4};
+    // Three renewals in a lease: one may be lost.
+    duration renew_interval = std::chrono::milliseconds{1'300};
+    duration retry_interval = std::chrono::milliseconds{300};
+};
+
+class host_registration
+{
+public:
+    host_registration(boost::asio::io_context& io, shared_store& store,
+                      registration_options options);
+
+    // Sets what the entry says, and writes it if it differs.
+    void publish(const std::string& value);
+
+    // The store shows that the entry has vanished.
+    void entry_lost();
+
+    // Ends the lease, so that the entry vanishes at once.
+    void withdraw();
+
+private:
+    void step();
+    void write();
+    void schedule(duration wait);
+
+    shared_store& m_store;
+    registration_options m_options;
+    boost::asio::steady_timer m_timer;
+    std::string m_value;
+    std::optional<lease_id> m_lease;
+    bool m_is_written = false;
+    bool m_is_calling = false;
+    bool m_is_withdrawn = false;
+};
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/store/store_codec.hpp
@@ -0,0 +1,53 @@
+// What a key of the platform's store says, in the tier's own terms. An adapter decodes it.
+
+#ifndef TANAGERSPUR_STORE_STORE_CODEC_HPP
+#define TANAGERSPUR_STORE_STORE_CODEC_HPP
+
+#include "tanagerspur/gateway/host_directory.hpp"
+#include "tanagerspur/registry/replica_registry.hpp"
+#include "tanagerspur/routing/route_table.hpp"
+
+#include <string>
+#include <variant>
+
+namespace tanagerspur
+{
+
+// A key that means nothing to the tier.
+struct foreign_key
+{
+};
+
+// A value that can't be used, with what is wrong with it.
+struct malformed_value
+{
+    std::string why;
+};
+
+// The kinds of key, without their values.
+struct configuration_key
+{
+};
+using store_key = std::variant<foreign_key, configuration_key, replica_id, host_id>;
+
+using configuration_value = std::variant<malformed_value, routing_configuration>;
+using replica_value = std::variant<malformed_value, replica_record>;
+using host_value = std::variant<malformed_value, host_record>;
+
+class store_codec
+{
+public:
+    virtual ~store_codec() = default;
+
+    virtual store_key decode_key(const std::string& key) const = 0;
+    virtual configuration_value decode_configuration(const std::string& value) const = 0;
+    virtual replica_value decode_replica(const replica_id& id, const std::string& value) const = 0;
+    virtual host_value decode_host(const host_id& id, const std::string& value) const = 0;
+
+    virtual std::string host_key(const host_id& id) const = 0;
+    virtual std::string encode_host(const host_record& record) const = 0;
+};
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/store/store_mirror.cpp
@@ -0,0 +1,108 @@
+#include "tanagerspur/store/store_mirror.hpp"
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+// A watch that returns at once unless there are changes.
+constexpr duration probe_wait = std::chrono::milliseconds{1};
+
+} // namespace
+
+store_mirror::store_mirror(boost::asio::io_context& io, shared_store& store, mirror_options options,
+                           mirror_observer& observer)
+    : m_store(store)
+    , m_options(options)
+    , m_observer(observer)
+    , m_timer(io)
+    , m_random(options.seed)
+{
+}
+
+void store_mirror::start()
+{
+    m_loading.clear();
+    m_is_first_page = true;
+    load("");
+}
+
+void store_mirror::load(const std::string& after_key)
+{
+    m_store.range("", after_key, [this](range_page page) { on_page(std::move(page)); });
+}
+
+// Pages are no snapshot: changes between them are seen again by the watch, which goes on from the
+// revision of the first page.
+void store_mirror::on_page(range_page page)
+{
+    if (page.outcome != store_outcome::ok)
+    {
+        lost();
+        return retry([this] { start(); });
+    }
+    if (std::exchange(m_is_first_page, false))
+        m_as_of = page.as_of;
+    for (store_change& each : page.items)
+        m_loading.push_back(std::move(each));
+    if (page.is_truncated && !m_loading.empty())
+        return load(m_loading.back().key);
+    regained();
+    m_observer.on_snapshot(m_loading);
+    m_loading.clear();
+    watch(m_options.watch_wait);
+}
+
+void store_mirror::watch(duration wait)
+{
+    m_store.watch("", m_as_of, wait, [this](change_list list) { on_changes(std::move(list)); });
+}
+
+void store_mirror::on_changes(change_list list)
+{
+    if (list.outcome == store_outcome::history_lost)
+        return start();
+    if (list.outcome != store_outcome::ok)
+    {
+        lost();
+        return retry([this] { watch(probe_wait); });
+    }
+    regained();
+    for (const store_change& each : list.changes)
+        m_observer.on_change(each);
+    m_as_of = std::max(m_as_of, list.as_of);
+    watch(m_options.watch_wait);
+}
+
+void store_mirror::lost()
+{
+    if (std::exchange(m_is_connected, false))
+        m_observer.on_store_lost();
+}
+
+void store_mirror::regained()
+{
+    m_backoff = duration{0};
+    if (!std::exchange(m_is_connected, true))
+        m_observer.on_store_regained();
+}
+
+void store_mirror::retry(std::function<void()> call)
+{
+    m_backoff = m_backoff.count() == 0 ? m_options.first_backoff
+                                       : std::min(m_options.last_backoff, 2 * m_backoff);
+    const double share = std::uniform_real_distribution<>{0.5, 1.0}(m_random);
+    m_timer.expires_after(
+        duration{static_cast<duration::rep>(share * static_cast<double>(m_backoff.count()))});
+    m_timer.async_wait(
+        [call = std::move(call)](boost::system::error_code error)
+        {
+            if (!error)
+                call();
+        });
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/store/store_mirror.hpp
@@ -0,0 +1,75 @@
+// Keeps an observer up to date with all keys of the store: one range read, then one watch after
+// the other. After a failed watch, a short one shows whether the store is back before the next
+// long one waits; when the history is lost, everything is read again.
+
+#ifndef TANAGERSPUR_STORE_STORE_MIRROR_HPP
+#define TANAGERSPUR_STORE_STORE_MIRROR_HPP
+
+#include "tanagerspur/store/shared_store.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <random>
+
+namespace tanagerspur
+{
+
+struct mirror_options
+{
+    // A watch that hears nothing is repeated after this time. It bounds how long a lost
+    // connection without a sign can hide changes, at the price of a call each time.
+    duration watch_wait = std::chrono::seconds{4};
+    // Waits between failed calls: doubled from the first to the last, with jitter.
+    duration first_backoff = std::chrono::milliseconds{60};
+    duration last_backoff = std::chrono::milliseconds{500};
+    std::uint64_t seed = 1;
+};
+
+class mirror_observer
+{
+public:
+    virtual ~mirror_observer() = default;
+    // All keys as they are now; those that are absent were removed.
+    virtual void on_snapshot(const std::vector<store_change>& items) = 0;
+    virtual void on_change(const store_change& change) = 0;
+    // The store stopped answering this host, or answers again.
+    virtual void on_store_lost() = 0;
+    virtual void on_store_regained() = 0;
+};
+
+class store_mirror
+{
+public:
+    store_mirror(boost::asio::io_context& io, shared_store& store, mirror_options options,
+                 mirror_observer& observer);
+
+    void start();
+
+    bool is_connected() const { return m_is_connected; }
+    store_revision as_of() const { return m_as_of; }
+
+private:
+    void load(const std::string& after_key);
+    void on_page(range_page page);
+    void watch(duration wait);
+    void on_changes(change_list list);
+    void lost();
+    void regained();
+    void retry(std::function<void()> call);
+
+    shared_store& m_store;
+    mirror_options m_options;
+    mirror_observer& m_observer;
+    boost::asio::steady_timer m_timer;
+    std::mt19937_64 m_random;
+    std::vector<store_change> m_loading;
+    bool m_is_first_page = true;
+    bool m_is_connected = false;
+    store_revision m_as_of;
+    duration m_backoff{0};
+};
+
+} // namespace tanagerspur
+
+#endif
