Two hosts read the store for all; callers are sent to a part of a large fleet

Cause: every host watched the store itself. Ruled out: longer waits of watches (each event still answers all of them). Change: readers chosen by capacity and zone from the hosts' entries, a relay of their changes, own watches when no reader answers; changes in quick succession share a call; the directory names the hosts of each zone that hold a quarter of its capacity (four at least), all while one is busy; connections and saved extra attempts are shared among those; another zone counts as 10 ms.

--- /dev/null
+++ b/tanagerspur/common/base64.hpp
@@ -0,0 +1,20 @@
+// Base64 text (RFC 4648, with padding) for bytes in JSON.
+
+#ifndef TANAGERSPUR_COMMON_BASE64_HPP
+#define TANAGERSPUR_COMMON_BASE64_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tanagerspur
+{
+
+std::string encode_base64(std::string_view bytes);
+
+// Nothing when the text is not base64.
+std::optional<std::string> decode_base64(std::string_view text);
+
+} // namespace tanagerspur
+
+#endif
--- a/tanagerspur/forwarding/replica_choice.hpp
+++ b/tanagerspur/forwarding/replica_choice.hpp
@@ -17,7 +17,7 @@
     zone_id own_zone;
     // Added to the expected latency of a replica in another zone: the longer round trip, and the
     // transfer between zones, which is paid for.
-    duration other_zone_cost = std::chrono::milliseconds{4};
+    duration other_zone_cost = std::chrono::milliseconds{10};
     // Relative spread of the random factor that keeps hosts from choosing in step.
     double jitter = 0.15;
 };
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -48,7 +48,7 @@
     , m_settings(std::move(settings))
     , m_dialect(std::move(dialect))
     , m_codec(codec)
-    , m_store(store)
+    , m_store(io, store)
     , m_log("gateway")
     , m_registry({}, *this)
     , m_pool(io, m_dialect,
@@ -60,9 +60,16 @@
                    .retry_burst = 1},
                   m_registry, *this)
     , m_ingress(io, m_dialect, *this)
-    , m_mirror(io, store, {.seed = std::hash<std::string>{}(m_settings.id.value())}, *this)
+    , m_mirror(io, m_store, {.seed = std::hash<std::string>{}(m_settings.id.value())}, *this)
     , m_registration(io, store, {.key = codec.host_key(m_settings.id)})
-    , m_directory({.id = m_settings.id, .zone = m_settings.zone, .callers = m_settings.callers})
+    , m_directory({.id = m_settings.id,
+                   .zone = m_settings.zone,
+                   .callers = m_settings.callers,
+                   .peers = m_settings.peers,
+                   .capacity = m_settings.capacity})
+    , m_relay(m_mirror.log())
+    , m_relay_http(io, {.listen = m_settings.peers}, m_relay)
+    , m_load(m_settings.capacity)
     , m_tick_timer(io)
     , m_started(boot_now())
 {
@@ -77,6 +84,8 @@
                           {"callers", to_string(m_settings.callers)},
                           {"store", to_string(m_settings.store)}});
     std::string error = m_ingress.start(m_settings.callers);
+    if (error.empty())
+        error = m_relay_http.start();
     if (!error.empty())
         return error;
     m_mirror.start();
@@ -96,7 +105,7 @@
 
 void gateway::publish_self()
 {
-    m_directory.set_self_ready(is_ready());
+    m_directory.set_self(is_ready(), m_load.is_busy());
     if (m_has_snapshot)
         m_registration.publish(m_codec.encode_host(m_directory.self()));
 }
@@ -164,14 +173,21 @@
         apply_configuration(*change.value);
 }
 
+void gateway::on_read()
+{
+    m_relay.publish(boot_now());
+}
+
 void gateway::on_store_lost()
 {
+    m_relay.set_connected(false, boot_now());
     m_registry.store_lost(boot_now());
     m_log.write("store_lost", {{"revision", number_text(m_mirror.as_of().value())}});
 }
 
 void gateway::on_store_regained()
 {
+    m_relay.set_connected(true, boot_now());
     m_registry.store_regained(boot_now());
     m_log.write("store_regained", {{"revision", number_text(m_mirror.as_of().value())}});
 }
@@ -224,20 +240,46 @@
                 {{"host", id.value()}, {"why", std::get<malformed_value>(decoded).why}});
 }
 
-// Connections and extra attempts are shared out among the hosts that are known.
+// Connections and extra attempts are shared out among the hosts that callers are sent to. The
+// others get by with one connection to a replica and one saved attempt.
 void gateway::hosts_changed()
 {
-    const auto hosts = static_cast<double>(m_directory.known_hosts());
-    m_forwarder.set_retry_burst(std::max(1.0, m_settings.retry_slack * retry_slack_share / hosts));
+    publish_self();
+    choose_readers_again();
+    const std::vector<host_record> used = m_directory.used_hosts();
+    const bool is_used =
+        std::any_of(used.begin(), used.end(),
+                    [this](const host_record& each) { return each.id == m_settings.id; });
+    const double hosts = static_cast<double>(std::max<std::size_t>(1, used.size()));
+    m_forwarder.set_retry_burst(
+        is_used ? std::max(1.0, m_settings.retry_slack * retry_slack_share / hosts) : 1.0);
     if (m_table != nullptr)
         for (const auto& [service, rule] : m_table->configuration().services)
         {
             const auto share =
-                static_cast<std::size_t>(connection_share * rule.max_connections / hosts);
+                is_used ? static_cast<std::size_t>(connection_share * rule.max_connections / hosts)
+                        : std::size_t{1};
             m_pool.set_limit(service,
                              std::clamp<std::size_t>(share, 1, max_connections_per_replica));
         }
-    publish_self();
+}
+
+// A host that reads for the others asks the store itself, as does one that knows no reader.
+void gateway::choose_readers_again()
+{
+    std::vector<reader_candidate> candidates;
+    for (const host_record& each : m_directory.all_hosts())
+        if (each.is_ready)
+            candidates.push_back(
+                {.id = each.id, .zone = each.zone, .peers = each.peers, .capacity = each.capacity});
+    std::vector<reader_candidate> readers = choose_readers(std::move(candidates));
+    const bool is_reader =
+        std::any_of(readers.begin(), readers.end(),
+                    [this](const reader_candidate& each) { return each.id == m_settings.id; });
+    if (is_reader)
+        readers.clear();
+    sort_for(m_settings.id, m_settings.zone, readers);
+    m_store.set_readers(std::move(readers));
 }
 
 void gateway::replica_added(const replica& added)
@@ -392,6 +434,13 @@
     m_pool.tick(now);
     m_ingress.tick(now);
     m_directory.tick(now);
+    m_relay.tick(now);
+    if (m_load.measure(now, processor_time()))
+    {
+        m_log.write("load_changed", {{"busy", m_load.is_busy() ? "true" : "false"},
+                                     {"share", std::to_string(m_load.share())}});
+        hosts_changed();
+    }
     if (m_is_stopping)
         finish_if_quiet(now);
 }
@@ -475,6 +524,10 @@
     add("store_calls_total{kind=\"write\"}", calls.writes);
     add("store_calls_total{kind=\"renewal\"}", calls.renewals);
     add("store_calls_failed_total", calls.failures);
+    add("relay_watches_total", m_store.counters().watches);
+    add("relay_watches_failed_total", m_store.counters().failures);
+    add("relay_fallbacks_total", m_store.counters().fallbacks);
+    add("relay_followers", m_relay.waiting());
     add("store_values_malformed_total", m_malformed);
     add("log_lines_left_out_total", m_log.left_out());
     for (const auto& [name, histogram] :
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -13,11 +13,15 @@
 #include "tanagerspur/common/latency_histogram.hpp"
 #include "tanagerspur/forwarding/forwarder.hpp"
 #include "tanagerspur/gateway/host_directory.hpp"
+#include "tanagerspur/gateway/load_meter.hpp"
 #include "tanagerspur/gateway/settings.hpp"
+#include "tanagerspur/net/http_server.hpp"
 #include "tanagerspur/net/ingress_server.hpp"
 #include "tanagerspur/net/replica_pool.hpp"
 #include "tanagerspur/registry/replica_registry.hpp"
 #include "tanagerspur/store/host_registration.hpp"
+#include "tanagerspur/store/relay_server.hpp"
+#include "tanagerspur/store/relayed_store.hpp"
 #include "tanagerspur/store/store_codec.hpp"
 #include "tanagerspur/store/store_mirror.hpp"
 
@@ -61,6 +65,7 @@
 private:
     void on_snapshot(const std::vector<store_change>& items) override;
     void on_change(const store_change& change) override;
+    void on_read() override;
     void on_store_lost() override;
     void on_store_regained() override;
 
@@ -89,6 +94,8 @@
     void forget(exchange_id exchange);
     void schedule_tick();
     void tick();
+    void choose_readers_again();
+    void measure_load(time_point now);
     void finish_if_quiet(time_point now);
     time_point keep_until() const;
 
@@ -96,7 +103,7 @@
     gateway_settings m_settings;
     wire_dialect m_dialect;
     const store_codec& m_codec;
-    shared_store& m_store;
+    relayed_store m_store;
     event_log m_log;
     replica_registry m_registry;
     replica_pool m_pool;
@@ -105,6 +112,10 @@
     store_mirror m_mirror;
     host_registration m_registration;
     host_directory m_directory;
+    relay_server m_relay;
+    http_server m_relay_http;
+    load_meter m_load;
+    bool m_is_busy = false;
     std::shared_ptr<const route_table> m_table;
     std::unordered_map<std::uint64_t, std::unique_ptr<boost::asio::steady_timer>> m_timers;
     // Which exchange serves a session's request, and the other way round.
--- a/tanagerspur/gateway/settings.cpp
+++ b/tanagerspur/gateway/settings.cpp
@@ -21,6 +21,11 @@
 {
     BOOST_LEAF_AUTO(id, section.text("id", "the host's name"));
     BOOST_LEAF_AUTO(zone, section.text("zone", "the host's availability zone"));
+    BOOST_LEAF_AUTO(cores, section.decimal("cores", {.min = 0.001,
+                                                     .max = 1'024,
+                                                     .unit = "cores that the host may use",
+                                                     .fallback = 0.25}));
+    settings.capacity = static_cast<std::uint32_t>(cores * 1'000);
     settings.id = host_id{id};
     settings.zone = zone_id{zone};
     return {};
@@ -32,6 +37,7 @@
     BOOST_LEAF_ASSIGN(settings.readiness, parse_listen(section, "readiness"));
     BOOST_LEAF_ASSIGN(settings.directory, parse_listen(section, "directory"));
     BOOST_LEAF_ASSIGN(settings.metrics, parse_listen(section, "metrics"));
+    BOOST_LEAF_ASSIGN(settings.peers, parse_listen(section, "peers"));
     return {};
 }
 
--- a/tanagerspur/gateway/settings.hpp
+++ b/tanagerspur/gateway/settings.hpp
@@ -22,6 +22,10 @@
     endpoint readiness;
     endpoint directory;
     endpoint metrics;
+    // Other hosts that follow this one's view of the store.
+    endpoint peers;
+    // Processor share in thousandths of a core.
+    std::uint32_t capacity = 250;
     endpoint store;
     // Extra attempts at a service for each request to it, over all hosts.
     double retry_ratio = 0.2;
--- /dev/null
+++ b/tanagerspur/store/reader_choice.cpp
@@ -0,0 +1,60 @@
+#include "tanagerspur/store/reader_choice.hpp"
+
+#include <boost/container_hash/hash.hpp>
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+std::size_t spread(const host_id& first, const host_id& second)
+{
+    std::size_t seed = 0;
+    boost::hash_combine(seed, first.value());
+    boost::hash_combine(seed, second.value());
+    return seed;
+}
+
+} // namespace
+
+std::vector<reader_candidate> choose_readers(std::vector<reader_candidate> hosts,
+                                             const reader_options& options)
+{
+    const std::size_t wanted =
+        std::max(options.least_readers, hosts.size() / options.followers_of_reader + 1);
+    std::sort(hosts.begin(), hosts.end(),
+              [](const reader_candidate& left, const reader_candidate& right)
+              { return std::tie(right.capacity, left.id) < std::tie(left.capacity, right.id); });
+    // Hosts by how many of their zone stand before them: one of each zone, then a second one.
+    std::map<zone_id, std::size_t> seen;
+    std::vector<std::pair<std::size_t, reader_candidate>> ranked;
+    for (reader_candidate& each : hosts)
+    {
+        const std::size_t rank = seen[each.zone]++;
+        ranked.emplace_back(rank, std::move(each));
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::vector<reader_candidate> chosen;
+    for (auto& [rank, each] : ranked)
+        if (chosen.size() < wanted)
+            chosen.push_back(std::move(each));
+    return chosen;
+}
+
+void sort_for(const host_id& self, const zone_id& zone, std::vector<reader_candidate>& readers)
+{
+    std::sort(readers.begin(), readers.end(),
+              [&](const reader_candidate& left, const reader_candidate& right)
+              {
+                  return std::tuple{left.zone != zone, spread(self, left.id)} <
+                         std::tuple{right.zone != zone, spread(self, right.id)};
+              });
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/store/reader_choice.hpp
@@ -0,0 +1,44 @@
+// Which hosts read the store for the others, and which of them a host follows. Every host works
+// it out from the same list of hosts, so nothing has to be agreed on; hosts that see different
+// lists for a moment only cost the store a few calls more.
+
+#ifndef TANAGERSPUR_STORE_READER_CHOICE_HPP
+#define TANAGERSPUR_STORE_READER_CHOICE_HPP
+
+#include "tanagerspur/common/endpoint.hpp"
+#include "tanagerspur/common/ids.hpp"
+
+#include <vector>
+
+namespace tanagerspur
+{
+
+// A host that can read for others.
+struct reader_candidate
+{
+    host_id id;
+    zone_id zone;
+    // Where it tells others about changes.
+    endpoint peers;
+    // Processor share in thousandths of a core.
+    std::uint32_t capacity = 0;
+};
+
+struct reader_options
+{
+    // A second reader stands in when the first is lost.
+    std::size_t least_readers = 2;
+    // Hosts that may follow one reader: each asks it about once a second.
+    std::size_t followers_of_reader = 40;
+};
+
+// The readers among the hosts: those with the most capacity, from different zones first.
+std::vector<reader_candidate> choose_readers(std::vector<reader_candidate> hosts,
+                                             const reader_options& options = {});
+
+// The order in which a host tries the readers: its own zone first, then spread by its id.
+void sort_for(const host_id& self, const zone_id& zone, std::vector<reader_candidate>& readers);
+
+} // namespace tanagerspur
+
+#endif
--- /dev/null
+++ b/tanagerspur/store/relay_server.cpp
@@ -0,0 +1,149 @@
+#include "tanagerspur/store/relay_server.hpp"
+
+#include "tanagerspur/common/base64.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+#include <algorithm>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+constexpr const char* changes_path = "/v1/changes";
+// Longest wait that a follower may ask for.
+constexpr duration max_wait = std::chrono::seconds{10};
+// Followers ask about once a second; after this time each has heard that the store was away.
+constexpr duration unsettled_time = std::chrono::milliseconds{1'500};
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+bool relay_server::has_news(store_revision after) const
+{
+    const auto changes = m_log.since(after);
+    return !changes || !changes->empty();
+}
+
+http_reply relay_server::reply_to(store_revision after, time_point now) const
+{
+    if (!m_is_connected)
+        return error_reply(status_unavailable, "the store is away");
+    const auto changes = m_log.since(after);
+    if (!changes)
+        return error_reply(status_gone, "the history is gone");
+    boost::json::array rows;
+    for (const store_change& each : *changes)
+    {
+        boost::json::object row{{"key", each.key}, {"revision", each.revision.value()}};
+        if (each.value)
+            row["value"] = encode_base64(*each.value);
+        rows.push_back(std::move(row));
+    }
+    return {.body = boost::json::serialize(
+                boost::json::object{{"as_of", std::max(after, m_log.as_of()).value()},
+                                    {"unsettled", now < m_unsettled_until},
+                                    {"changes", std::move(rows)}})};
+}
+
+void relay_server::handle(http_call call, std::uint64_t token, http_responder respond)
+{
+    const auto after = call.number_parameter("after");
+    const auto wait = call.number_parameter("wait-ms");
+    if (call.path != changes_path || !after || *after < 0 || !wait || *wait < 0)
+        return respond(error_reply(404, "unknown call"));
+    const time_point now = boot_now();
+    const store_revision from{static_cast<std::uint64_t>(*after)};
+    const duration longest = std::min<duration>(max_wait, std::chrono::milliseconds{*wait});
+    if (!m_is_connected || has_news(from) || longest.count() == 0)
+        return respond(reply_to(from, now));
+    m_waiting[token] = {.after = from, .end = now + longest, .respond = std::move(respond)};
+}
+
+void relay_server::publish(time_point now)
+{
+    std::erase_if(m_waiting,
+                  [&](auto& each)
+                  {
+                      if (!has_news(each.second.after))
+                          return false;
+                      each.second.respond(reply_to(each.second.after, now));
+                      return true;
+                  });
+}
+
+void relay_server::set_connected(bool is_connected, time_point now)
+{
+    if (m_is_connected == is_connected)
+        return;
+    m_is_connected = is_connected;
+    m_unsettled_until = now + unsettled_time;
+    if (is_connected)
+        return;
+    for (auto& [token, each] : m_waiting)
+        each.respond(reply_to(each.after, now));
+    m_waiting.clear();
+}
+
+void relay_server::tick(time_point now)
+{
+    std::erase_if(m_waiting,
+                  [&](auto& each)
+                  {
+                      if (now < each.second.end)
+                          return false;
+                      each.second.respond(reply_to(each.second.after, now));
+                      return true;
+                  });
+}
+
+http_call make_relay_call(store_revision after, duration wait)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    return {
+        .path = changes_path,
+        .parameters = {{"after", std::to_string(after.value())}, {"wait-ms", std::to_string(ms)}}};
+}
+
+change_list decode_relay_answer(const http_reply& reply)
+{
+    if (reply.status == status_gone)
+        return {.outcome = store_outcome::history_lost};
+    if (reply.status != status_ok)
+        return {};
+    try
+    {
+        const boost::json::value body = boost::json::parse(reply.body);
+        change_list list{.outcome = store_outcome::ok};
+        list.as_of = store_revision{boost::json::value_to<std::uint64_t>(body.at("as_of"))};
+        list.is_unsettled = body.at("unsettled").as_bool();
+        for (const boost::json::value& row : body.at("changes").as_array())
+        {
+            store_change change;
+            change.key = std::string{row.at("key").as_string()};
+            change.revision =
+                store_revision{boost::json::value_to<std::uint64_t>(row.at("revision"))};
+            if (const auto* value = row.as_object().if_contains("value"))
+            {
+                change.value = decode_base64(value->as_string());
+                if (!change.value)
+                    return {};
+            }
+            list.changes.push_back(std::move(change));
+        }
+        return list;
+    }
+    catch (const std::exception&)
+    {
+        // Not an answer of a relay: the caller turns to another source and logs it.
+        return {};
+    }
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/store/relayed_store.cpp
@@ -0,0 +1,117 @@
+#include "tanagerspur/store/relayed_store.hpp"
+
+#include "tanagerspur/store/relay_server.hpp"
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+// A relayed configuration of several thousand routes is some megabytes long.
+constexpr std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
+
+} // namespace
+
+relayed_store::relayed_store(boost::asio::io_context& io, shared_store& direct,
+                             relay_options options)
+    : m_io(io)
+    , m_direct(direct)
+    , m_options(options)
+{
+}
+
+const reader_candidate* relayed_store::next_reader(time_point now) const
+{
+    for (const reader_candidate& each : m_readers)
+    {
+        const auto failed = m_failed_until.find(each.id);
+        if (failed == m_failed_until.end() || now >= failed->second)
+            return &each;
+    }
+    return nullptr;
+}
+
+void relayed_store::watch(const std::string& prefix, store_revision after, duration wait,
+                          change_handler handler)
+{
+    run({.prefix = prefix, .after = after, .wait = wait, .handler = std::move(handler)});
+}
+
+// Tries one reader after the other; each call is answered before the next begins.
+void relayed_store::run(pending_watch watch)
+{
+    const reader_candidate* reader = next_reader(boot_now());
+    if (reader != nullptr)
+        return follow(reader_candidate{*reader}, std::move(watch));
+    if (!m_readers.empty())
+        ++m_counters.fallbacks;
+    m_direct.watch(watch.prefix, watch.after, watch.wait, std::move(watch.handler));
+}
+
+void relayed_store::follow(const reader_candidate& reader, pending_watch watch)
+{
+    ++m_counters.watches;
+    const auto known = m_connections.find(reader.id);
+    if (known != m_connections.end() && known->second->is_open())
+        return ask(known->second, reader.id, std::move(watch));
+    const connection_ref made = http_connection::make(m_io, reader.peers, max_answer_bytes);
+    m_connections[reader.id] = made;
+    made->open(m_options.call_timeout,
+               [this, made, id = reader.id, watch = std::move(watch)](bool is_open) mutable
+               {
+                   if (is_open)
+                       return ask(made, id, std::move(watch));
+                   reader_failed(id, std::move(watch));
+               });
+}
+
+void relayed_store::ask(const connection_ref& on, const host_id& reader, pending_watch watch)
+{
+    on->send(make_relay_call(watch.after, watch.wait), watch.wait + m_options.call_timeout,
+             [this, reader, watch](const call_outcome& outcome)
+             {
+                 change_list list;
+                 if (outcome.stage == call_stage::answered)
+                     list = decode_relay_answer(outcome.reply);
+                 if (list.outcome == store_outcome::unavailable)
+                     return reader_failed(reader, watch);
+                 watch.handler(std::move(list));
+             });
+}
+
+void relayed_store::reader_failed(const host_id& reader, pending_watch watch)
+{
+    ++m_counters.failures;
+    m_failed_until[reader] = boot_now() + m_options.failed_reader_rest;
+    run(std::move(watch));
+}
+
+void relayed_store::range(const std::string& prefix, const std::string& after_key,
+                          page_handler handler)
+{
+    m_direct.range(prefix, after_key, std::move(handler));
+}
+
+void relayed_store::open_lease(duration length, lease_handler handler)
+{
+    m_direct.open_lease(length, std::move(handler));
+}
+
+void relayed_store::renew_lease(lease_id lease, done_handler handler)
+{
+    m_direct.renew_lease(lease, std::move(handler));
+}
+
+void relayed_store::end_lease(lease_id lease, done_handler handler)
+{
+    m_direct.end_lease(lease, std::move(handler));
+}
+
+void relayed_store::put(const std::string& key, const std::string& value, lease_id lease,
+                        done_handler handler)
+{
+    m_direct.put(key, value, lease, std::move(handler));
+}
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/store/relayed_store.hpp
@@ -0,0 +1,83 @@
+// A shared_store whose watches go to the hosts that read the store for the others, and to the
+// store itself when this host is one of them or none of them answers. All other calls go to the
+// store.
+
+#ifndef TANAGERSPUR_STORE_RELAYED_STORE_HPP
+#define TANAGERSPUR_STORE_RELAYED_STORE_HPP
+
+#include "tanagerspur/net/http_connection.hpp"
+#include "tanagerspur/store/reader_choice.hpp"
+#include "tanagerspur/store/shared_store.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+
+namespace tanagerspur
+{
+
+struct relay_options
+{
+    // Beyond the wait of a watch; hosts are about a millisecond apart.
+    duration call_timeout = std::chrono::milliseconds{500};
+    // A reader that failed is left alone for this time.
+    duration failed_reader_rest = std::chrono::milliseconds{1'500};
+};
+
+struct relay_counters
+{
+    std::uint64_t watches = 0;
+    std::uint64_t failures = 0;
+    // Watches that no reader answered.
+    std::uint64_t fallbacks = 0;
+};
+
+class relayed_store final : public shared_store
+{
+public:
+    relayed_store(boost::asio::io_context& io, shared_store& direct, relay_options options = {});
+
+    // The readers in the order in which to try them; none if this host reads itself.
+    void set_readers(std::vector<reader_candidate> readers) { m_readers = std::move(readers); }
+
+    const relay_counters& counters() const { return m_counters; }
+
+    void range(const std::string& prefix, const std::string& after_key,
+               page_handler handler) override;
+    void watch(const std::string& prefix, store_revision after, duration wait,
+               change_handler handler) override;
+    void open_lease(duration length, lease_handler handler) override;
+    void renew_lease(lease_id lease, done_handler handler) override;
+    void end_lease(lease_id lease, done_handler handler) override;
+    void put(const std::string& key, const std::string& value, lease_id lease,
+             done_handler handler) override;
+    shared_store_calls calls() const override { return m_direct.calls(); }
+
+private:
+    using connection_ref = std::shared_ptr<http_connection>;
+    struct pending_watch
+    {
+        std::string prefix;
+        store_revision after;
+        duration wait;
+        change_handler handler;
+    };
+
+    const reader_candidate* next_reader(time_point now) const;
+    void follow(const reader_candidate& reader, pending_watch watch);
+    void ask(const connection_ref& on, const host_id& reader, pending_watch watch);
+    void reader_failed(const host_id& reader, pending_watch watch);
+    void run(pending_watch watch);
+
+    boost::asio::io_context& m_io;
+    shared_store& m_direct;
+    relay_options m_options;
+    std::vector<reader_candidate> m_readers;
+    std::map<host_id, time_point> m_failed_until;
+    std::map<host_id, connection_ref> m_connections;
+    relay_counters m_counters;
+};
+
+} // namespace tanagerspur
+
+#endif
--- a/tanagerspur/store/shared_store.hpp
+++ b/tanagerspur/store/shared_store.hpp
@@ -53,6 +53,8 @@
     std::vector<store_change> changes;
     // Where the next watch goes on.
     store_revision as_of;
+    // The source lost the store and found it again a moment ago: entries may have lapsed.
+    bool is_unsettled = false;
 };
 
 struct lease_grant
--- a/tanagerspur/store/store_mirror.cpp
+++ b/tanagerspur/store/store_mirror.cpp
@@ -45,20 +45,23 @@
         return retry([this] { start(); });
     }
     if (std::exchange(m_is_first_page, false))
-        m_as_of = page.as_of;
+        m_loading_as_of = page.as_of;
     for (store_change& each : page.items)
         m_loading.push_back(std::move(each));
     if (page.is_truncated && !m_loading.empty())
         return load(m_loading.back().key);
     regained();
+    m_log.replace_all(m_loading, m_loading_as_of);
     m_observer.on_snapshot(m_loading);
+    m_observer.on_read();
     m_loading.clear();
     watch(m_options.watch_wait);
 }
 
 void store_mirror::watch(duration wait)
 {
-    m_store.watch("", m_as_of, wait, [this](change_list list) { on_changes(std::move(list)); });
+    m_store.watch("", m_log.as_of(), wait,
+                  [this](change_list list) { on_changes(std::move(list)); });
 }
 
 void store_mirror::on_changes(change_list list)
@@ -70,11 +73,19 @@
         lost();
         return retry([this] { watch(probe_wait); });
     }
+    if (list.is_unsettled)
+        lost();
     regained();
     for (const store_change& each : list.changes)
+    {
+        m_log.add(each);
         m_observer.on_change(each);
-    m_as_of = std::max(m_as_of, list.as_of);
-    watch(m_options.watch_wait);
+    }
+    m_log.advance(list.as_of);
+    m_observer.on_read();
+    if (list.changes.empty())
+        return watch(m_options.watch_wait);
+    call_after(m_options.gather_pause, [this] { watch(m_options.watch_wait); });
 }
 
 void store_mirror::lost()
@@ -95,8 +106,13 @@
     m_backoff = m_backoff.count() == 0 ? m_options.first_backoff
                                        : std::min(m_options.last_backoff, 2 * m_backoff);
     const double share = std::uniform_real_distribution<>{0.5, 1.0}(m_random);
-    m_timer.expires_after(
-        duration{static_cast<duration::rep>(share * static_cast<double>(m_backoff.count()))});
+    call_after(duration{static_cast<duration::rep>(share * static_cast<double>(m_backoff.count()))},
+               std::move(call));
+}
+
+void store_mirror::call_after(duration wait, std::function<void()> call)
+{
+    m_timer.expires_after(wait);
     m_timer.async_wait(
         [call = std::move(call)](boost::system::error_code error)
         {
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -5,6 +5,7 @@
 #ifndef TANAGERSPUR_STORE_STORE_MIRROR_HPP
 #define TANAGERSPUR_STORE_STORE_MIRROR_HPP
 
+#include "tanagerspur/store/change_log.hpp"
 #include "tanagerspur/store/shared_store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -19,7 +20,9 @@
 {
     // A watch that hears nothing is repeated after this time. It bounds how long a lost
     // connection without a sign can hide changes, at the price of a call each time.
-    duration watch_wait = std::chrono::seconds{4};
+    duration watch_wait = std::chrono::seconds{1};
+    // Pause after a watch that brought changes, so that changes in quick succession share a call.
+    duration gather_pause = std::chrono::milliseconds{100};
     // Waits between failed calls: doubled from the first to the last, with jitter.
     duration first_backoff = std::chrono::milliseconds{60};
     duration last_backoff = std::chrono::milliseconds{500};
@@ -33,6 +36,8 @@
     // All keys as they are now; those that are absent were removed.
     virtual void on_snapshot(const std::vector<store_change>& items) = 0;
     virtual void on_change(const store_change& change) = 0;
+    // A full read or a watch has been taken over.
+    virtual void on_read() = 0;
     // The store stopped answering this host, or answers again.
     virtual void on_store_lost() = 0;
     virtual void on_store_regained() = 0;
@@ -47,7 +52,9 @@
     void start();
 
     bool is_connected() const { return m_is_connected; }
-    store_revision as_of() const { return m_as_of; }
+    store_revision as_of() const { return m_log.as_of(); }
+    // What has been read, for hosts that follow this one.
+    const change_log& log() const { return m_log; }
 
 private:
     void load(const std::string& after_key);
@@ -57,6 +64,7 @@
     void lost();
     void regained();
     void retry(std::function<void()> call);
+    void call_after(duration wait, std::function<void()> call);
 
     shared_store& m_store;
     mirror_options m_options;
@@ -66,7 +74,9 @@
     std::vector<store_change> m_loading;
     bool m_is_first_page = true;
     bool m_is_connected = false;
-    store_revision m_as_of;
+    // Revision of the first page of a full read.
+    store_revision m_loading_as_of;
+    change_log m_log;
     duration m_backoff{0};
 };
 
