Extra attempts are counted in a sliding window, with its slack used in each

Ruled out: a lower reserve alone (the bucket still caps what a window may spend). Change: retry_window counts requests and extra attempts; each host keeps to its share of the slack, which grows over a whole window after a start or a change; a tenth of it is left to failures.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -57,18 +57,15 @@
     , m_choice({.own_zone = options.own_zone}, options.seed)
     , m_splits(options.seed + 1)
     , m_random(options.seed + 2)
+    , m_slack(options.retries.length)
 {
 }
 
 forwarder::~forwarder() = default;
 
-void forwarder::set_retry_burst(double burst)
+void forwarder::set_retry_slack(double slack, time_point now)
 {
-    if (burst == m_options.retry_burst)
-        return;
-    m_options.retry_burst = burst;
-    for (auto& [service, budget] : m_budgets)
-        budget = extra_load_budget{m_options.retry_ratio, std::min(budget.tokens(), burst), burst};
+    m_slack.set(slack, now);
 }
 
 forwarder::route_latency& forwarder::latency_of(const route& on)
@@ -98,13 +95,9 @@
                       std::max(min_hedge_delay, longest));
 }
 
-extra_load_budget& forwarder::budget_of(const service_id& service)
+retry_window& forwarder::budget_of(const service_id& service)
 {
-    // A start has few tokens, since hosts that restart would otherwise each bring a full burst.
-    return m_budgets
-        .try_emplace(service, m_options.retry_ratio, std::min(2.0, m_options.retry_burst),
-                     m_options.retry_burst)
-        .first->second;
+    return m_budgets.try_emplace(service, m_options.retries).first->second;
 }
 
 std::size_t forwarder::needed_parts(const exchange& of) const
@@ -138,7 +131,7 @@
     m_exchanges[id.value()] = std::move(made);
     for (std::size_t i = 0; i < started.legs.size(); ++i)
     {
-        budget_of(started.legs[i].service).earn(0);
+        budget_of(started.legs[i].service).count_request(now);
         if (!send_next(started, i, now))
             fail_leg(started.legs[i], "no_replica");
     }
@@ -179,20 +172,20 @@
     return true;
 }
 
-bool forwarder::send_again(exchange& of, std::size_t leg_index, time_point now)
+bool forwarder::send_again(exchange& of, std::size_t leg_index, double reserve, time_point now)
 {
     leg& which = of.legs[leg_index];
     if (which.sends >= of.on->max_attempts)
         return false;
-    extra_load_budget& budget = budget_of(which.service);
-    if (budget.tokens() < 1)
+    retry_window& budget = budget_of(which.service);
+    if (budget.left(now, m_slack.at(now)) < 1 + reserve)
     {
         ++m_counters.budget_denied;
         return false;
     }
     if (!send_next(of, leg_index, now))
         return false;
-    budget.try_spend();
+    budget.spend(now);
     ++of.extra_attempts;
     return true;
 }
@@ -283,7 +276,7 @@
         which.answer = outcome.answer;
     const bool may_repeat = of.on->is_idempotent || outcome.result == attempt_result::refused;
     if (may_repeat && which.under_way.empty() && now < of.deadline &&
-        send_again(of, leg_index, now))
+        send_again(of, leg_index, 0, now))
     {
         ++m_counters.retries;
         return;
@@ -300,7 +293,7 @@
         if (which.now != leg::state::pending || now < which.hedge_at)
             continue;
         which.hedge_at = never;
-        if (!send_again(of, i, now))
+        if (!send_again(of, i, m_options.hedge_reserve * m_slack.full(), now))
             continue;
         ++m_counters.hedges;
     }
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -13,10 +13,10 @@
 #ifndef TANAGERSPUR_FORWARDING_FORWARDER_HPP
 #define TANAGERSPUR_FORWARDING_FORWARDER_HPP
 
-#include "tanagerspur/dispatch/budget.hpp"
 #include "tanagerspur/dispatch/latency_estimator.hpp"
 #include "tanagerspur/forwarding/messages.hpp"
 #include "tanagerspur/forwarding/replica_choice.hpp"
+#include "tanagerspur/forwarding/retry_window.hpp"
 #include "tanagerspur/routing/route_table.hpp"
 #include "tanagerspur/routing/split_picker.hpp"
 
@@ -37,10 +37,11 @@
     // Share of a route's attempts that end before a second one is sent. The rest is what second
     // attempts cost; it leaves half of the deployment's budget to failures.
     double hedge_quantile = 0.90;
-    // Extra attempts for each request of a service, of the deployment's ratio.
-    double retry_ratio = 0.17;
-    // Extra attempts of a service that this host may save up.
-    double retry_burst = 5;
+    // Extra attempts of this host at a service.
+    retry_window_options retries;
+    // Share of this host's slack that hedges leave to failures: a repeat after a failure is
+    // needed, a hedge is only likely to be.
+    double hedge_reserve = 0.1;
     // Time that an attempt may go on after its exchange has been answered.
     duration linger = std::chrono::milliseconds{400};
     // Latency assumed for a route before its first answers, as a share of its objective.
@@ -129,8 +130,8 @@
 
     void wake(exchange_id id, time_point now);
 
-    // Extra attempts of a service that all hosts together may save up, and their number.
-    void set_retry_burst(double burst);
+    // Sets this host's share of the extra attempts at each service in a window.
+    void set_retry_slack(double slack, time_point now);
 
     std::size_t under_way() const { return m_exchanges.size(); }
     const forwarder_counters& counters() const { return m_counters; }
@@ -191,13 +192,13 @@
     };
 
     route_latency& latency_of(const route& on);
-    extra_load_budget& budget_of(const service_id& service);
+    retry_window& budget_of(const service_id& service);
     std::size_t needed_parts(const exchange& of) const;
 
     // Sends the leg's next attempt; false when no replica can take it.
     bool send_next(exchange& of, std::size_t leg_index, time_point now);
-    // Sends another attempt if attempts and budget allow it.
-    bool send_again(exchange& of, std::size_t leg_index, time_point now);
+    // Sends another attempt if attempts and budget allow it; the reserve is left in the budget.
+    bool send_again(exchange& of, std::size_t leg_index, double reserve, time_point now);
     void learn(const attempt& ended, std::uint64_t number, const attempt_outcome& outcome,
                time_point now);
     void leg_attempt_ended(exchange& of, std::size_t leg_index, const attempt_outcome& outcome,
@@ -219,7 +220,8 @@
     split_picker m_splits;
     std::mt19937_64 m_random;
     std::map<std::string, route_latency> m_latencies;
-    std::map<service_id, extra_load_budget> m_budgets;
+    std::map<service_id, retry_window> m_budgets;
+    slack_share m_slack;
     std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<std::uint64_t, attempt> m_attempts;
     std::uint64_t m_next_attempt = 1;
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -16,9 +16,9 @@
 // just joined need the rest.
 constexpr double connection_share = 0.85;
 constexpr std::size_t max_connections_per_replica = 6;
-// Share of the deployment's ratio of extra attempts that is used: hosts count apart, and a window
-// may begin with saved tokens.
-constexpr double retry_ratio_share = 0.85;
+// Share of the deployment's bounds on extra attempts that is used: hosts may disagree for a moment
+// on how many share them, and requests that never arrived here don't count.
+constexpr double retry_ratio_share = 0.9;
 constexpr double retry_slack_share = 0.7;
 // After SIGTERM new connections are taken for this long: callers keep addresses a while.
 constexpr duration accept_while_stopping = std::chrono::milliseconds{3'500};
@@ -56,8 +56,8 @@
              { m_forwarder.attempt_ended(attempt, outcome, boot_now()); })
     , m_forwarder({.own_zone = m_settings.zone,
                    .seed = std::hash<std::string>{}(m_settings.id.value()),
-                   .retry_ratio = m_settings.retry_ratio * retry_ratio_share,
-                   .retry_burst = 1},
+                   .retries = {.ratio = m_settings.retry_ratio * retry_ratio_share,
+                               .length = m_settings.retry_window}},
                   m_registry, *this)
     , m_ingress(io, m_dialect, *this)
     , m_mirror(io, m_store, {.seed = std::hash<std::string>{}(m_settings.id.value())}, *this)
@@ -241,7 +241,7 @@
 }
 
 // Connections and extra attempts are shared out among the hosts that callers are sent to. The
-// others get by with one connection to a replica and one saved attempt.
+// others get by with one connection to a replica and the ratio of extra attempts.
 void gateway::hosts_changed()
 {
     publish_self();
@@ -251,8 +251,8 @@
         std::any_of(used.begin(), used.end(),
                     [this](const host_record& each) { return each.id == m_settings.id; });
     const double hosts = static_cast<double>(std::max<std::size_t>(1, used.size()));
-    m_forwarder.set_retry_burst(
-        is_used ? std::max(1.0, m_settings.retry_slack * retry_slack_share / hosts) : 1.0);
+    m_forwarder.set_retry_slack(is_used ? m_settings.retry_slack * retry_slack_share / hosts : 0.0,
+                                boot_now());
     if (m_table != nullptr)
         for (const auto& [service, rule] : m_table->configuration().services)
         {
--- a/tanagerspur/gateway/settings.cpp
+++ b/tanagerspur/gateway/settings.cpp
@@ -53,6 +53,10 @@
         section.decimal(
             "retry_slack",
             {.min = 0, .max = 1e6, .unit = "extra attempts", .fallback = settings.retry_slack}));
+    BOOST_LEAF_AUTO(window,
+                    section.integer("retry_window_s",
+                                    {.min = 1, .max = 3'600, .unit = "seconds", .fallback = 10}));
+    settings.retry_window = std::chrono::seconds{window};
     BOOST_LEAF_AUTO(stop,
                     section.integer("stop_within_s",
                                     {.min = 1, .max = 3'600, .unit = "seconds", .fallback = 6}));
--- a/tanagerspur/gateway/settings.hpp
+++ b/tanagerspur/gateway/settings.hpp
@@ -31,6 +31,7 @@
     double retry_ratio = 0.2;
     // Further extra attempts at a service in one window, over all hosts.
     double retry_slack = 50;
+    duration retry_window = std::chrono::seconds{10};
     // Longest time from SIGTERM to the end of the process.
     std::chrono::seconds stop_within{6};
     // How long callers may keep an answer about addresses.
--- /dev/null
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -0,0 +1,522 @@
+// The forwarder under generated schedules of requests, outcomes of every kind, callers that leave
+// and replicas that come and go, on virtual time, against its guarantees; and its choices one by
+// one.
+
+#include "tanagerspur/forwarding/forwarder.hpp"
+#include "tanagerspur/forwarding/record_merge.hpp"
+#include "tanagerspur/testing/steps.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+constexpr std::size_t shard_count = 5;
+constexpr std::size_t replicas_of_shard = 3;
+constexpr double slack = 3;
+constexpr double ratio = 0.17;
+
+service_id shard(std::size_t number)
+{
+    return service_id{"shard-" + std::to_string(number)};
+}
+
+enum class route_kind
+{
+    scatter,
+    idempotent,
+    at_most_once
+};
+
+std::shared_ptr<const route_table> make_table()
+{
+    routing_configuration made{.version = configuration_version{1}};
+    route scatter{.name = "scatter",
+                  .host = "h",
+                  .prefix = "/scatter/",
+                  .is_idempotent = true,
+                  .timeout = std::chrono::milliseconds{400},
+                  .latency_objective = std::chrono::milliseconds{80},
+                  .max_attempts = 2};
+    scatter.scatter = scatter_rule{.top_records = 4, .min_coverage = 0.8};
+    for (std::size_t i = 0; i < shard_count; ++i)
+        scatter.scatter->shards.push_back(shard(i));
+    route single = scatter;
+    single.name = "single";
+    single.prefix = "/single/";
+    single.scatter.reset();
+    single.services = {{.service = shard(0)}};
+    route once = single;
+    once.name = "once";
+    once.prefix = "/once/";
+    once.is_idempotent = false;
+    made.routes = {scatter, single, once};
+    return std::make_shared<const route_table>(std::move(made));
+}
+
+struct sent_attempt
+{
+    attempt_order order;
+    bool is_over = false;
+    time_point at;
+};
+
+// One request and all that the forwarder did for it.
+struct request_trace
+{
+    route_kind kind = route_kind::scatter;
+    time_point begun;
+    bool has_left = false;
+    std::vector<caller_answer> answers;
+    time_point answered;
+    // By shard: replicas that it was sent to, and what came of it.
+    std::map<service_id, std::vector<std::uint64_t>> attempts;
+    std::set<std::string> parts;
+};
+
+// Plays the network: remembers every order and checks the guarantees as they can be checked.
+class world final : public forwarder_environment, private registry_observer
+{
+public:
+    // hedge_reserve: extra attempts that hedges leave to failures.
+    explicit world(double hedge_reserve = 0.3)
+        : m_registry({}, *this)
+        , m_forwarder({.own_zone = zone_id{"a"},
+                       .retries = {.ratio = ratio},
+                       .hedge_reserve = hedge_reserve / slack},
+                      m_registry, *this)
+        , m_table(make_table())
+    {
+        m_forwarder.set_retry_slack(slack, m_now);
+        m_now += std::chrono::seconds{10};
+        for (std::size_t i = 0; i < shard_count; ++i)
+            for (std::size_t j = 0; j < replicas_of_shard; ++j)
+                m_registry.put(record_of(i, j, 1), m_now);
+    }
+
+    static replica_record record_of(std::size_t shard_number, std::size_t number,
+                                    std::uint64_t started)
+    {
+        const std::string id = std::to_string(shard_number) + "-" + std::to_string(number);
+        return {.id = replica_id{id},
+                .service = shard(shard_number),
+                .zone = zone_id{number == 0 ? "a" : "b"},
+                .slots = 2,
+                .started_ms = started};
+    }
+
+    std::uint64_t begin(route_kind kind)
+    {
+        const std::uint64_t number = m_next_request++;
+        static const std::array paths{"/scatter/x", "/single/x", "/once/x"};
+        auto request = std::make_shared<caller_request>();
+        request->id = request_id{std::to_string(number)};
+        request->patience = std::chrono::milliseconds{300};
+        m_traces[number] = {.kind = kind, .begun = m_now};
+        const route* on = m_table->match("h", paths.at(static_cast<std::size_t>(kind)));
+        for (std::size_t i = 0; i < (kind == route_kind::scatter ? shard_count : 1); ++i)
+            m_asked[shard(i)].push_back(m_now);
+        m_forwarder.begin(exchange_id{number}, request, m_table, *on, m_now);
+        return number;
+    }
+
+    void advance(duration by)
+    {
+        const time_point end = m_now + by;
+        while (!m_wakes.empty())
+        {
+            const auto first = std::min_element(m_wakes.begin(), m_wakes.end(),
+                                                [](const auto& left, const auto& right)
+                                                { return left.second < right.second; });
+            if (first->second > end)
+                break;
+            const exchange_id id{first->first};
+            m_now = std::max(m_now, first->second);
+            m_wakes.erase(first);
+            m_forwarder.wake(id, m_now);
+        }
+        m_now = end;
+    }
+
+    // Ends the attempt; the part of a success holds one record that names its shard.
+    void end(std::uint64_t number, attempt_result result, int status = 200)
+    {
+        sent_attempt& sent = m_sent.at(number);
+        if (std::exchange(sent.is_over, true))
+            return;
+        attempt_outcome outcome{.result = result};
+        if (result == attempt_result::answered)
+        {
+            outcome.answer.status = status;
+            outcome.answer.body = std::string(record_bytes, static_cast<char>('a' + number % 26));
+            outcome.answer.signature = std::to_string(number);
+        }
+        m_results[number] = result;
+        m_forwarder.attempt_ended(number, outcome, m_now);
+    }
+
+    void leave(std::uint64_t request)
+    {
+        request_trace& trace = m_traces.at(request);
+        if (!trace.answers.empty())
+            return;
+        trace.has_left = true;
+        m_forwarder.cancel(exchange_id{request}, m_now);
+    }
+
+    std::vector<std::uint64_t> open_attempts() const
+    {
+        std::vector<std::uint64_t> open;
+        for (const auto& [number, sent] : m_sent)
+            if (!sent.is_over)
+                open.push_back(number);
+        return open;
+    }
+
+    void send(const attempt_order& order) override
+    {
+        m_sent[order.number] = {.order = order};
+        const std::uint64_t request = std::stoull(order.request->id.value());
+        request_trace& trace = m_traces.at(request);
+        RC_ASSERT(order.deadline <= trace.begun + std::chrono::milliseconds{300});
+        auto& attempts = trace.attempts[order.to->record.service];
+        check_repeat(trace, attempts);
+        attempts.push_back(order.number);
+        std::size_t counted = 0;
+        for (const std::uint64_t each : attempts)
+        {
+            const auto known = m_results.find(each);
+            counted += known == m_results.end() || known->second != attempt_result::not_sent;
+        }
+        RC_ASSERT(counted <= 2U);
+        m_sent[order.number].at = m_now;
+        check_budget(order.to->record.service);
+    }
+
+    void end_by(std::uint64_t attempt, time_point when) override
+    {
+        RC_ASSERT(when >= m_now);
+        m_ending.insert(attempt);
+    }
+    void abort(std::uint64_t attempt) override { m_aborted.insert(attempt); }
+    bool has_room(const replica&) override { return true; }
+
+    void answer(exchange_id exchange, caller_answer answer) override
+    {
+        request_trace& trace = m_traces.at(exchange.value());
+        RC_ASSERT(trace.answers.empty());
+        RC_ASSERT(!trace.has_left);
+        RC_ASSERT(m_now <= trace.begun + std::chrono::milliseconds{300});
+        trace.answered = m_now;
+        if (answer.status == 503)
+            for (const auto& [service, attempts] : trace.attempts)
+                for (const std::uint64_t each : attempts)
+                    RC_ASSERT(did_not_run(each));
+        if (trace.kind == route_kind::scatter && answer.status == 200)
+            check_scatter(trace, answer);
+        trace.answers.push_back(std::move(answer));
+    }
+
+    void wake_at(exchange_id exchange, time_point when) override
+    {
+        m_wakes[exchange.value()] = when;
+    }
+    void finished(const exchange_summary& summary) override { m_wakes.erase(summary.id.value()); }
+
+    bool did_not_run(std::uint64_t attempt) const
+    {
+        const auto known = m_results.find(attempt);
+        return known != m_results.end() && (known->second == attempt_result::not_sent ||
+                                            known->second == attempt_result::refused);
+    }
+
+    time_point m_now{std::chrono::seconds{100}};
+    replica_registry m_registry;
+    forwarder m_forwarder;
+    std::shared_ptr<const route_table> m_table;
+    std::map<std::uint64_t, sent_attempt> m_sent;
+    std::map<std::uint64_t, attempt_result> m_results;
+    std::map<std::uint64_t, request_trace> m_traces;
+    std::map<std::uint64_t, time_point> m_wakes;
+    std::set<std::uint64_t> m_aborted;
+    std::set<std::uint64_t> m_ending;
+    std::uint64_t m_next_request = 1;
+    std::map<service_id, std::vector<time_point>> m_asked;
+
+private:
+    void replica_added(const replica&) override {}
+    void replica_left(const replica&, removal) override {}
+
+    void check_repeat(const request_trace& trace, const std::vector<std::uint64_t>& before) const
+    {
+        if (trace.kind != route_kind::at_most_once)
+            return;
+        for (const std::uint64_t each : before)
+            RC_ASSERT(did_not_run(each));
+    }
+
+    // Arrivals of a request at a service beyond its first; what was not sent never arrived.
+    std::size_t extra_arrivals(const std::vector<std::uint64_t>& attempts, time_point begin) const
+    {
+        std::size_t arrived = 0;
+        std::size_t extra = 0;
+        for (const std::uint64_t each : attempts)
+        {
+            const auto end = m_results.find(each);
+            if (end != m_results.end() && end->second == attempt_result::not_sent)
+                continue;
+            if (arrived++ > 0 && m_sent.at(each).at > begin)
+                ++extra;
+        }
+        return extra;
+    }
+
+    // Extra attempts in the window that ends now.
+    void check_budget(const service_id& service)
+    {
+        const time_point begin = m_now - std::chrono::seconds{10};
+        const auto& asked = m_asked[service];
+        const auto requests = std::count_if(asked.begin(), asked.end(),
+                                            [begin](time_point each) { return each > begin; });
+        std::size_t extra = 0;
+        for (auto& [request, trace] : m_traces)
+            extra += extra_arrivals(trace.attempts[service], begin);
+        RC_ASSERT(static_cast<double>(extra) <= slack + ratio * static_cast<double>(requests));
+    }
+
+    void check_scatter(const request_trace& trace, const caller_answer& answer) const
+    {
+        const std::size_t parts = answer.part_signatures.size();
+        RC_ASSERT(parts + *answer.missing_parts == shard_count);
+        RC_ASSERT(static_cast<double>(parts) >= 0.8 * shard_count - 1e-9);
+        std::set<service_id> services;
+        std::vector<std::string> bodies;
+        for (const std::string& signature : answer.part_signatures)
+        {
+            const std::uint64_t number = std::stoull(signature);
+            const sent_attempt& sent = m_sent.at(number);
+            RC_ASSERT(m_traces.at(std::stoull(sent.order.request->id.value())).begun ==
+                      trace.begun);
+            RC_ASSERT(services.insert(sent.order.to->record.service).second);
+            bodies.emplace_back(record_bytes, static_cast<char>('a' + number % 26));
+        }
+        std::sort(bodies.begin(), bodies.end(), std::greater<>{});
+        std::string expected;
+        for (std::size_t i = 0; i < std::min<std::size_t>(4, bodies.size()); ++i)
+            expected += bodies[i];
+        RC_ASSERT(answer.body == expected);
+    }
+};
+
+void play(world& at, const testing::step& each)
+{
+    const std::vector<std::uint64_t> open = at.open_attempts();
+    const std::uint64_t chosen = open.empty() ? 0 : open[each.first % open.size()];
+    switch (each.kind)
+    {
+    case 0:
+        at.begin(static_cast<route_kind>(each.first % 3));
+        break;
+    case 1:
+    case 2:
+        if (chosen != 0)
+            at.end(chosen, attempt_result::answered, each.second % 5 == 0 ? 500 : 200);
+        break;
+    case 3:
+        if (chosen != 0)
+            at.end(chosen, static_cast<attempt_result>(each.second % 5));
+        break;
+    case 4:
+        at.advance(std::chrono::milliseconds{each.second % 60});
+        break;
+    case 5:
+        if (at.m_next_request > 1)
+            at.leave(1 + each.first % (at.m_next_request - 1));
+        break;
+    case 6:
+        at.m_registry.remove(world::record_of(each.first % shard_count, each.second % 3, 1).id,
+                             at.m_now);
+        break;
+    default:
+        at.m_registry.put(world::record_of(each.first % shard_count, each.second % 3, 1), at.m_now);
+        break;
+    }
+}
+
+} // namespace
+
+class forwarder_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(forwarder_test);
+    CPPUNIT_TEST(guarantees_hold_under_any_schedule);
+    CPPUNIT_TEST(shard_without_replicas_is_left_out_if_coverage_allows);
+    CPPUNIT_TEST(request_without_replicas_is_refused_at_once);
+    CPPUNIT_TEST(paused_replica_is_hedged_before_the_objective);
+    CPPUNIT_TEST(partial_answer_comes_in_time_for_the_objective);
+    CPPUNIT_TEST(lost_request_that_may_have_run_is_not_refused);
+    CPPUNIT_TEST(caller_that_leaves_ends_idempotent_attempts_only);
+    CPPUNIT_TEST(hedges_leave_the_last_tokens_to_failures);
+    CPPUNIT_TEST(merge_agrees_with_sorting_everything);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void guarantees_hold_under_any_schedule()
+    {
+        const bool holds = rc::check(
+            []
+            {
+                world at;
+                for (const testing::step& each : *testing::make_steps(8))
+                    play(at, each);
+                at.advance(std::chrono::seconds{1});
+                for (const auto& [number, trace] : at.m_traces)
+                    RC_ASSERT(trace.answers.size() == (trace.has_left ? 0U : 1U));
+                RC_ASSERT(at.m_forwarder.under_way() == 0U);
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void shard_without_replicas_is_left_out_if_coverage_allows()
+    {
+        world at;
+        for (std::size_t j = 0; j < replicas_of_shard; ++j)
+            at.m_registry.remove(world::record_of(0, j, 1).id, at.m_now);
+        at.m_now += std::chrono::seconds{3};
+        at.m_registry.tick(at.m_now);
+        const std::uint64_t request = at.begin(route_kind::scatter);
+        for (const std::uint64_t each : at.open_attempts())
+            at.end(each, attempt_result::answered);
+        const caller_answer& answer = at.m_traces[request].answers.at(0);
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *answer.missing_parts);
+    }
+
+    void request_without_replicas_is_refused_at_once()
+    {
+        world at;
+        for (std::size_t j = 0; j < replicas_of_shard; ++j)
+            at.m_registry.remove(world::record_of(0, j, 1).id, at.m_now);
+        at.m_now += std::chrono::seconds{3};
+        at.m_registry.tick(at.m_now);
+        const std::uint64_t request = at.begin(route_kind::at_most_once);
+        const caller_answer& answer = at.m_traces[request].answers.at(0);
+        CPPUNIT_ASSERT_EQUAL(503, answer.status);
+        CPPUNIT_ASSERT(answer.retry_after.has_value());
+    }
+
+    void paused_replica_is_hedged_before_the_objective()
+    {
+        world at;
+        warm_up(at);
+        const std::uint64_t request = at.begin(route_kind::idempotent);
+        const std::uint64_t first = at.open_attempts().at(0);
+        at.advance(std::chrono::milliseconds{40});
+        const std::vector<std::uint64_t> open = at.open_attempts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, open.size());
+        const std::uint64_t second = open[0] == first ? open[1] : open[0];
+        CPPUNIT_ASSERT(at.m_sent[first].order.to != at.m_sent[second].order.to);
+        at.end(second, attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(200, at.m_traces[request].answers.at(0).status);
+        CPPUNIT_ASSERT(at.m_ending.contains(first));
+    }
+
+    void partial_answer_comes_in_time_for_the_objective()
+    {
+        world at;
+        const std::uint64_t request = at.begin(route_kind::scatter);
+        const std::vector<std::uint64_t> open = at.open_attempts();
+        for (std::size_t i = 0; i + 1 < open.size(); ++i)
+            at.end(open[i], attempt_result::answered);
+        CPPUNIT_ASSERT(at.m_traces[request].answers.empty());
+        at.advance(std::chrono::milliseconds{81});
+        const caller_answer& answer = at.m_traces[request].answers.at(0);
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *answer.missing_parts);
+        CPPUNIT_ASSERT(at.m_traces[request].answered - at.m_traces[request].begun <=
+                       duration{std::chrono::milliseconds{80}});
+    }
+
+    void lost_request_that_may_have_run_is_not_refused()
+    {
+        world at;
+        const std::uint64_t request = at.begin(route_kind::at_most_once);
+        at.end(at.open_attempts().at(0), attempt_result::failed);
+        CPPUNIT_ASSERT_EQUAL(502, at.m_traces[request].answers.at(0).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, at.m_sent.size());
+    }
+
+    void caller_that_leaves_ends_idempotent_attempts_only()
+    {
+        world at;
+        const std::uint64_t once = at.begin(route_kind::at_most_once);
+        const std::uint64_t kept = at.open_attempts().at(0);
+        at.leave(once);
+        const std::uint64_t scatter = at.begin(route_kind::scatter);
+        at.leave(scatter);
+        CPPUNIT_ASSERT(!at.m_aborted.contains(kept));
+        CPPUNIT_ASSERT_EQUAL(shard_count, at.m_aborted.size());
+    }
+
+    void hedges_leave_the_last_tokens_to_failures()
+    {
+        // Four requests leave room for 3.68 extra attempts; the reserve is 0.8 of one.
+        world at{0.8};
+        for (int i = 0; i < 4; ++i)
+            at.begin(route_kind::idempotent);
+        at.advance(std::chrono::milliseconds{60});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, at.m_sent.size());
+        for (const std::uint64_t each : at.open_attempts())
+            at.end(each, attempt_result::failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, at.m_sent.size());
+    }
+
+    void merge_agrees_with_sorting_everything()
+    {
+        const bool holds = rc::check(
+            []
+            {
+                const auto bodies = *rc::gen::container<std::vector<std::string>>(
+                    rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+                std::vector<std::string_view> parts;
+                std::vector<std::vector<unsigned char>> records;
+                for (const std::string& each : bodies)
+                {
+                    parts.emplace_back(each);
+                    for (std::size_t at = 0; at + record_bytes <= each.size(); at += record_bytes)
+                        records.emplace_back(each.begin() + static_cast<std::ptrdiff_t>(at),
+                                             each.begin() +
+                                                 static_cast<std::ptrdiff_t>(at + record_bytes));
+                }
+                const std::size_t count = *rc::gen::inRange<std::size_t>(0, 12);
+                std::sort(records.begin(), records.end(), std::greater<>{});
+                std::string expected;
+                for (std::size_t i = 0; i < std::min(count, records.size()); ++i)
+                    expected.append(records[i].begin(), records[i].end());
+                RC_ASSERT(merge_greatest(parts, count) == expected);
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+private:
+    // Enough ordinary answers to know the route's latency and to earn extra attempts.
+    static void warm_up(world& at)
+    {
+        for (int i = 0; i < 200; ++i)
+        {
+            at.begin(route_kind::idempotent);
+            at.advance(std::chrono::milliseconds{8});
+            for (const std::uint64_t each : at.open_attempts())
+                at.end(each, attempt_result::answered);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/testing/registry_test.cpp
@@ -0,0 +1,228 @@
+// Which replicas may get work, through announcements, removals, restarts under the same id and
+// outages of the store; and what an estimate learns.
+
+#include "tanagerspur/registry/replica_registry.hpp"
+#include "tanagerspur/testing/steps.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+constexpr duration grace = std::chrono::milliseconds{2'200};
+
+time_point at_ms(std::int64_t ms)
+{
+    return time_point{std::chrono::milliseconds{1'000'000 + ms}};
+}
+
+replica_record make_record(const std::string& id, std::uint64_t started = 1)
+{
+    return {.id = replica_id{id},
+            .service = service_id{"desk"},
+            .address = {.address = "127.0.0.1", .port = 9000},
+            .zone = zone_id{"a"},
+            .slots = 2,
+            .started_ms = started};
+}
+
+class recorder final : public registry_observer
+{
+public:
+    void replica_added(const replica& added) override { m_present.insert(added.number); }
+    void replica_left(const replica& left, removal why) override
+    {
+        CPPUNIT_ASSERT(m_present.erase(left.number) == 1);
+        m_last = why;
+    }
+
+    std::set<std::uint64_t> m_present;
+    removal m_last = removal::removed;
+};
+
+} // namespace
+
+class registry_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(registry_test);
+    CPPUNIT_TEST(draining_replica_gets_no_work_at_once);
+    CPPUNIT_TEST(removed_replica_gets_no_work_at_once_while_others_are_left);
+    CPPUNIT_TEST(last_replica_is_kept_for_the_grace_and_no_longer);
+    CPPUNIT_TEST(entries_that_lapse_in_an_outage_come_back_or_go);
+    CPPUNIT_TEST(restart_under_the_same_id_starts_with_a_new_estimate);
+    CPPUNIT_TEST(late_write_of_an_earlier_incarnation_is_ignored);
+    CPPUNIT_TEST(observer_and_lists_agree_under_any_schedule);
+    CPPUNIT_TEST(slow_replica_is_told_apart_within_two_answers_and_forgiven_later);
+    CPPUNIT_TEST(hanging_attempt_shows_before_it_ends);
+    CPPUNIT_TEST(failed_connections_back_off);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_recorder = recorder{};
+        m_registry.emplace(registry_options{.return_grace = grace}, m_recorder);
+    }
+
+    void draining_replica_gets_no_work_at_once()
+    {
+        m_registry->put(make_record("x"), at_ms(0));
+        replica_record leaving = make_record("x");
+        leaving.state = replica_state::draining;
+        m_registry->store_lost(at_ms(1));
+        m_registry->put(leaving, at_ms(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        CPPUNIT_ASSERT(m_recorder.m_last == removal::draining);
+    }
+
+    void removed_replica_gets_no_work_at_once_while_others_are_left()
+    {
+        m_registry->put(make_record("x"), at_ms(0));
+        m_registry->put(make_record("y"), at_ms(0));
+        m_registry->remove(replica_id{"x"}, at_ms(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
+    void last_replica_is_kept_for_the_grace_and_no_longer()
+    {
+        m_registry->put(make_record("x"), at_ms(0));
+        m_registry->remove(replica_id{"x"}, at_ms(1));
+        m_registry->tick(at_ms(2'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        // A second removal of the same entry does not prolong it.
+        m_registry->remove(replica_id{"x"}, at_ms(2'100));
+        m_registry->tick(at_ms(2'202));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+    }
+
+    void entries_that_lapse_in_an_outage_come_back_or_go()
+    {
+        for (const char* id : {"x", "y", "z"})
+            m_registry->put(make_record(id), at_ms(0));
+        m_registry->store_lost(at_ms(100));
+        m_registry->remove(replica_id{"x"}, at_ms(4'000));
+        m_registry->store_regained(at_ms(5'000));
+        m_registry->replace_all({make_record("z")}, at_ms(5'000));
+        m_registry->tick(at_ms(7'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, usable());
+        m_registry->put(make_record("y"), at_ms(7'100));
+        m_registry->tick(at_ms(7'300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, usable());
+        CPPUNIT_ASSERT(m_recorder.m_last == removal::lapsed);
+    }
+
+    void restart_under_the_same_id_starts_with_a_new_estimate()
+    {
+        m_registry->put(make_record("x", 1), at_ms(0));
+        const replica_ref before = m_registry->of_service(service_id{"desk"}).front();
+        m_registry->put(make_record("x", 2), at_ms(10));
+        const replica_ref after = m_registry->of_service(service_id{"desk"}).front();
+        CPPUNIT_ASSERT(before->number != after->number);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
+    void late_write_of_an_earlier_incarnation_is_ignored()
+    {
+        m_registry->put(make_record("x", 5), at_ms(0));
+        replica_record old = make_record("x", 4);
+        old.state = replica_state::draining;
+        m_registry->put(old, at_ms(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
+    void observer_and_lists_agree_under_any_schedule()
+    {
+        const bool holds = rc::check(
+            []
+            {
+                recorder told;
+                replica_registry registry{{.return_grace = grace}, told};
+                std::int64_t now = 0;
+                for (const testing::step& each : *testing::make_steps(6))
+                {
+                    now += each.second % 700;
+                    play(registry, each, at_ms(now));
+                    RC_ASSERT(registry.of_service(service_id{"desk"}).size() ==
+                              told.m_present.size());
+                    RC_ASSERT(registry.size() == told.m_present.size());
+                }
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void slow_replica_is_told_apart_within_two_answers_and_forgiven_later()
+    {
+        constexpr duration usual = std::chrono::milliseconds{8};
+        replica_estimate slow;
+        for (std::uint64_t i = 0; i < 2; ++i)
+        {
+            slow.attempt_sent(i, at_ms(0), usual);
+            slow.attempt_answered(i, at_ms(80), 10 * usual, usual);
+        }
+        CPPUNIT_ASSERT(slow.expected_ratio(at_ms(80), 2) > 4);
+        CPPUNIT_ASSERT(slow.expected_ratio(at_ms(15'000), 2) < 1.1);
+    }
+
+    void hanging_attempt_shows_before_it_ends()
+    {
+        constexpr duration usual = std::chrono::milliseconds{8};
+        replica_estimate paused;
+        paused.attempt_sent(1, at_ms(0), usual);
+        CPPUNIT_ASSERT(paused.overdue(at_ms(10)) == duration{0});
+        CPPUNIT_ASSERT(paused.overdue(at_ms(50)) == duration{std::chrono::milliseconds{34}});
+        paused.attempt_abandoned(1, at_ms(60));
+        CPPUNIT_ASSERT(paused.overdue(at_ms(61)) == duration{0});
+        CPPUNIT_ASSERT(paused.expected_ratio(at_ms(61), 2) > 2);
+    }
+
+    void failed_connections_back_off()
+    {
+        replica_estimate gone;
+        gone.connect_failed(at_ms(0));
+        CPPUNIT_ASSERT(!gone.is_reachable(at_ms(99)));
+        CPPUNIT_ASSERT(gone.is_reachable(at_ms(100)));
+        gone.connect_failed(at_ms(100));
+        CPPUNIT_ASSERT(!gone.is_reachable(at_ms(299)));
+        gone.connected();
+        gone.connect_failed(at_ms(400));
+        CPPUNIT_ASSERT(gone.is_reachable(at_ms(500)));
+    }
+
+private:
+    static void play(replica_registry& registry, const testing::step& each, time_point now)
+    {
+        const std::string id = std::to_string(each.first % 5);
+        replica_record record = make_record(id, each.second % 3);
+        if (each.kind == 0)
+            registry.put(record, now);
+        else if (each.kind == 1)
+        {
+            record.state = replica_state::draining;
+            registry.put(record, now);
+        }
+        else if (each.kind == 2)
+            registry.remove(replica_id{id}, now);
+        else if (each.kind == 3)
+            registry.replace_all({record}, now);
+        else if (each.kind == 4)
+            registry.store_lost(now);
+        else
+            registry.store_regained(now);
+        registry.tick(now);
+    }
+
+    std::size_t usable() const { return m_registry->of_service(service_id{"desk"}).size(); }
+
+    recorder m_recorder;
+    std::optional<replica_registry> m_registry;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(registry_test);
+
+} // namespace tanagerspur
