A connection that was just closed is not taken for the next request

An idle connection whose time was over stays in the idle list until its observer hears of it in a later turn; a request in between was started on it, and both ends were reported. Ruled out: two reports of one close (each state is left once). Change: only connections that are still idle are taken. Test: replica_pool_test, idle_connection_that_was_just_closed_is_not_used; failed before, passes now; the other cases cover foreign, cut and doubled answers.

--- a/tanagerspur/net/replica_pool.cpp
+++ b/tanagerspur/net/replica_pool.cpp
@@ -61,6 +61,9 @@
 replica_pool::connection_ref replica_pool::take_idle(group& from, const attempt_order& order,
                                                      time_point now)
 {
+    // A connection that was just closed leaves the list only when its observer hears of it.
+    std::erase_if(from.idle, [](const connection_ref& each)
+                  { return each->current() != replica_connection::state::idle; });
     if (from.idle.empty())
         return nullptr;
     const connection_ref last = from.idle.back();
--- /dev/null
+++ b/tanagerspur/testing/replica_pool_test.cpp
@@ -0,0 +1,287 @@
+// Connections to replicas against a server that misbehaves in every way the tier must bear: no
+// foreign, cut or doubled bytes become an answer, and what a lost attempt may have done is told
+// truly.
+
+#include "tanagerspur/net/replica_pool.hpp"
+#include "tanagerspur/testing/scripted_server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+using testing::field_of;
+using testing::run_until;
+using testing::scripted_answer;
+using testing::scripted_server;
+
+std::string reply(const std::string& id, const std::string& body, const std::string& more = {})
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSignature: s-" + id + "\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+class replica_pool_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(replica_pool_test);
+    CPPUNIT_TEST(request_goes_out_unchanged_and_names_the_replica);
+    CPPUNIT_TEST(connection_is_used_again);
+    CPPUNIT_TEST(late_answer_to_an_earlier_request_is_passed_over);
+    CPPUNIT_TEST(bytes_after_an_answer_end_the_connection);
+    CPPUNIT_TEST(cut_answer_is_no_answer);
+    CPPUNIT_TEST(answer_without_length_counts_only_when_it_ends_in_order);
+    CPPUNIT_TEST(success_without_signature_is_no_answer);
+    CPPUNIT_TEST(refusal_is_told_as_such);
+    CPPUNIT_TEST(misdirected_request_did_not_run);
+    CPPUNIT_TEST(garbage_is_no_answer);
+    CPPUNIT_TEST(refused_port_means_not_sent);
+    CPPUNIT_TEST(idle_connection_that_was_just_closed_is_not_used);
+    CPPUNIT_TEST(attempt_ends_at_its_deadline);
+    CPPUNIT_TEST(request_that_cannot_be_repeated_avoids_an_old_connection);
+    CPPUNIT_TEST(replica_that_left_keeps_no_idle_connection);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_io.emplace();
+        m_outcomes.clear();
+        m_pool.emplace(*m_io, wire_dialect{},
+                       [this](std::uint64_t attempt, attempt_outcome outcome)
+                       { m_outcomes[attempt] = std::move(outcome); });
+    }
+
+    void tearDown() override
+    {
+        m_pool.reset();
+        m_server.reset();
+        m_io.reset();
+    }
+
+    void request_goes_out_unchanged_and_names_the_replica()
+    {
+        std::string seen;
+        serve([&](const std::string& head)
+              {
+                  seen = head;
+                  return scripted_answer{reply("1", "x")};
+              });
+        const attempt_outcome& outcome = run(1);
+        CPPUNIT_ASSERT(outcome.result == attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(std::string{"x"}, outcome.answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"s-1"}, outcome.answer.signature);
+        CPPUNIT_ASSERT(seen.starts_with("GET /a/b?c=%20d HTTP/1.1\r\nHost: desk\r\nOdd-CASE: v\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"replica-1"}, field_of(seen, "Expected-Replica"));
+        const int left = std::stoi(field_of(seen, "Deadline-Ms"));
+        CPPUNIT_ASSERT(left > 0 && left <= 1'000);
+    }
+
+    void connection_is_used_again()
+    {
+        serve([](const std::string& head)
+              { return scripted_answer{reply(field_of(head, "Request-Id"), "x")}; });
+        run(1);
+        CPPUNIT_ASSERT(run(2).result == attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->connections());
+    }
+
+    void late_answer_to_an_earlier_request_is_passed_over()
+    {
+        serve([](const std::string& head)
+              {
+                  const std::string id = field_of(head, "Request-Id");
+                  return scripted_answer{reply("earlier", "foreign") + reply(id, "own")};
+              });
+        const attempt_outcome& outcome = run(1);
+        CPPUNIT_ASSERT(outcome.result == attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(std::string{"own"}, outcome.answer.body);
+        // The connection has shown foreign bytes and is not used again.
+        run(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connections());
+    }
+
+    void bytes_after_an_answer_end_the_connection()
+    {
+        serve([](const std::string& head)
+              {
+                  const std::string id = field_of(head, "Request-Id");
+                  return scripted_answer{reply(id, "own") + reply(id, "twice")};
+              });
+        CPPUNIT_ASSERT_EQUAL(std::string{"own"}, run(1).answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"own"}, run(2).answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connections());
+    }
+
+    void cut_answer_is_no_answer()
+    {
+        for (const auto after : {scripted_answer::then::close, scripted_answer::then::reset})
+        {
+            setUp();
+            serve([after](const std::string&)
+                  {
+                      const std::string whole = reply("1", "complete body");
+                      return scripted_answer{whole.substr(0, whole.size() - 3), after};
+                  });
+            CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
+            tearDown();
+        }
+        setUp();
+    }
+
+    void answer_without_length_counts_only_when_it_ends_in_order()
+    {
+        const std::string unframed =
+            "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: s\r\n\r\nall of it";
+        serve([&](const std::string&)
+              { return scripted_answer{unframed, scripted_answer::then::close}; });
+        const attempt_outcome& whole = run(1);
+        CPPUNIT_ASSERT(whole.result == attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(std::string{"all of it"}, whole.answer.body);
+        tearDown();
+        setUp();
+        serve([&](const std::string&)
+              { return scripted_answer{unframed, scripted_answer::then::reset}; });
+        CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
+    }
+
+    void success_without_signature_is_no_answer()
+    {
+        serve([](const std::string&)
+              {
+                  return scripted_answer{
+                      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 1\r\n\r\nx"};
+              });
+        CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
+    }
+
+    void refusal_is_told_as_such()
+    {
+        serve([](const std::string&)
+              {
+                  return scripted_answer{"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nLoad: 2,12,2\r\n"
+                                         "Content-Length: 0\r\n\r\n"};
+              });
+        const attempt_outcome& outcome = run(1);
+        CPPUNIT_ASSERT(outcome.result == attempt_result::refused);
+        CPPUNIT_ASSERT_EQUAL(12U, outcome.load->waiting);
+    }
+
+    void misdirected_request_did_not_run()
+    {
+        serve([](const std::string&)
+              {
+                  return scripted_answer{
+                      "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"};
+              });
+        const attempt_outcome& outcome = run(1);
+        CPPUNIT_ASSERT(outcome.result == attempt_result::refused);
+        CPPUNIT_ASSERT(outcome.is_misdirected);
+    }
+
+    void garbage_is_no_answer()
+    {
+        serve([](const std::string&) { return scripted_answer{"\x01\x02 not HTTP\r\n\r\n"}; });
+        CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
+    }
+
+    void refused_port_means_not_sent()
+    {
+        serve([](const std::string&) { return scripted_answer{}; });
+        m_replica->record.address = m_server->address();
+        m_server.reset();
+        CPPUNIT_ASSERT(run(1).result == attempt_result::not_sent);
+        CPPUNIT_ASSERT(!m_replica->estimate.is_reachable(boot_now()));
+    }
+
+    void idle_connection_that_was_just_closed_is_not_used()
+    {
+        serve([](const std::string& head)
+              { return scripted_answer{reply(field_of(head, "Request-Id"), "x")}; });
+        run(1);
+        m_pool->tick(boot_now() + std::chrono::minutes{1});
+        CPPUNIT_ASSERT(run(2).result == attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connections());
+        CPPUNIT_ASSERT(run_until(*m_io, [this] { return m_pool->open_connections() == 1; }));
+    }
+
+    void attempt_ends_at_its_deadline()
+    {
+        serve([](const std::string&) { return scripted_answer{}; });
+        send(1);
+        CPPUNIT_ASSERT(run_until(*m_io, [this] { return m_server->connections() == 1; }));
+        m_io->run_for(std::chrono::milliseconds{20});
+        m_pool->tick(boot_now() + std::chrono::seconds{2});
+        CPPUNIT_ASSERT(run_until(*m_io, [this] { return m_outcomes.contains(1); }));
+        CPPUNIT_ASSERT(m_outcomes[1].result == attempt_result::abandoned);
+    }
+
+    void request_that_cannot_be_repeated_avoids_an_old_connection()
+    {
+        serve([](const std::string& head)
+              { return scripted_answer{reply(field_of(head, "Request-Id"), "x")}; });
+        run(1);
+        m_io->restart();
+        m_io->run_for(std::chrono::milliseconds{1'600});
+        run(2, false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connections());
+        run(3, false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connections());
+    }
+
+    void replica_that_left_keeps_no_idle_connection()
+    {
+        serve([](const std::string& head)
+              { return scripted_answer{reply(field_of(head, "Request-Id"), "x")}; });
+        run(1);
+        m_pool->replica_left(*m_replica);
+        CPPUNIT_ASSERT(run_until(*m_io, [this] { return m_pool->open_connections() == 0; }));
+    }
+
+private:
+    void serve(scripted_server::script script)
+    {
+        m_server.emplace(*m_io, std::move(script));
+        m_replica = std::make_shared<replica>();
+        m_replica->number = 1;
+        m_replica->record = {.id = replica_id{"replica-1"},
+                             .service = service_id{"desk"},
+                             .address = m_server->address(),
+                             .slots = 2};
+    }
+
+    void send(std::uint64_t attempt, bool is_idempotent = true)
+    {
+        auto request = std::make_shared<caller_request>();
+        request->method = "GET";
+        request->target = "/a/b?c=%20d";
+        request->fields = {{"Host", "desk"}, {"Odd-CASE", "v"}};
+        request->id = request_id{std::to_string(attempt)};
+        m_pool->send({.number = attempt,
+                      .to = m_replica,
+                      .request = request,
+                      .deadline = boot_now() + std::chrono::seconds{1},
+                      .is_idempotent = is_idempotent});
+    }
+
+    const attempt_outcome& run(std::uint64_t attempt, bool is_idempotent = true)
+    {
+        send(attempt, is_idempotent);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return m_outcomes.contains(attempt); }));
+        return m_outcomes[attempt];
+    }
+
+    std::optional<boost::asio::io_context> m_io;
+    std::optional<scripted_server> m_server;
+    std::optional<replica_pool> m_pool;
+    replica_ref m_replica;
+    std::map<std::uint64_t, attempt_outcome> m_outcomes;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(replica_pool_test);
+
+} // namespace tanagerspur
