Callers are sent to the two largest hosts of a zone; first reads may be stale; longer leases

Renewals and first reads were half of the store calls. Change: two hosts of a zone at least and a quarter of its capacity, largest first; load by the lateness of timers; the first full read may be stale and is taken over with the changes since; leases of 10 s, renewed each 3 s.

--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -69,7 +69,6 @@
                    .capacity = m_settings.capacity})
     , m_relay(m_mirror.log())
     , m_relay_http(io, {.listen = m_settings.peers}, m_relay)
-    , m_load(m_settings.capacity)
     , m_tick_timer(io)
     , m_started(boot_now())
 {
@@ -416,6 +415,7 @@
 
 void gateway::schedule_tick()
 {
+    m_tick_due = boot_now() + tick_interval;
     m_tick_timer.expires_after(tick_interval);
     m_tick_timer.async_wait(
         [this](boost::system::error_code error)
@@ -435,10 +435,10 @@
     m_ingress.tick(now);
     m_directory.tick(now);
     m_relay.tick(now);
-    if (m_load.measure(now, processor_time()))
+    if (m_load.timer_fired(now, now - m_tick_due))
     {
         m_log.write("load_changed", {{"busy", m_load.is_busy() ? "true" : "false"},
-                                     {"share", std::to_string(m_load.share())}});
+                                     {"late_us", std::to_string(m_load.lateness().count())}});
         hosts_changed();
     }
     if (m_is_stopping)
@@ -528,6 +528,8 @@
     add("relay_watches_failed_total", m_store.counters().failures);
     add("relay_fallbacks_total", m_store.counters().fallbacks);
     add("relay_followers", m_relay.waiting());
+    add("timer_lateness_us", static_cast<std::uint64_t>(m_load.lateness().count()));
+    add("busy", m_load.is_busy() ? 1 : 0);
     add("store_values_malformed_total", m_malformed);
     add("log_lines_left_out_total", m_log.left_out());
     for (const auto& [name, histogram] :
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -123,6 +123,7 @@
     std::unordered_map<std::uint64_t, exchange_id> m_exchanges;
     std::uint64_t m_next_exchange = 1;
     boost::asio::steady_timer m_tick_timer;
+    time_point m_tick_due{};
     bool m_has_snapshot = false;
     bool m_is_stopping = false;
     time_point m_started;
--- a/tanagerspur/gateway/host_directory.hpp
+++ b/tanagerspur/gateway/host_directory.hpp
@@ -36,7 +36,7 @@
     // and leave room in what replicas accept.
     double used_share = 0.25;
     // Hosts of a zone that are used at least, so that the loss of one is no burden to the rest.
-    std::size_t least_of_zone = 4;
+    std::size_t least_of_zone = 2;
 };
 
 class host_directory
--- a/tanagerspur/gateway/load_meter.hpp
+++ b/tanagerspur/gateway/load_meter.hpp
@@ -1,5 +1,6 @@
-// Tells whether a host uses most of its processor share, with hysteresis, so that a short burst
-// or a short lull changes nothing.
+// Tells whether a host has too little processor time for its work, by how late its timers fire:
+// this holds for a host whose share of a core is enforced from outside, where the process can't
+// see what it is charged. Hysteresis keeps a short burst or lull from changing the verdict.
 
 #ifndef TANAGERSPUR_GATEWAY_LOAD_METER_HPP
 #define TANAGERSPUR_GATEWAY_LOAD_METER_HPP
@@ -15,39 +16,43 @@
 {
     // Length of one measurement.
     duration interval = std::chrono::seconds{1};
-    // Share of the capacity above which a host is busy, and below which it no longer is.
-    double busy_above = 0.5;
-    double idle_below = 0.2;
-    // Measurements below the lower share before a host counts as idle again.
+    // Mean lateness above which a host is busy, and below which it no longer is. An idle host's
+    // timers are late by well under a millisecond.
+    duration busy_above = std::chrono::milliseconds{12};
+    duration calm_below = std::chrono::milliseconds{3};
+    // Measurements in a row that change the verdict.
+    std::uint32_t busy_intervals = 2;
     std::uint32_t calm_intervals = 10;
 };
 
 class load_meter
 {
 public:
-    // capacity: thousandths of a core.
-    explicit load_meter(std::uint32_t capacity, load_meter_options options = {});
+    explicit load_meter(load_meter_options options = {})
+        : m_options(options)
+    {
+    }
 
-    // Takes the processor time that the process has used so far; true if the verdict changed.
-    bool measure(time_point now, duration processor_time);
+    // A timer fired this late; true if the verdict changed.
+    bool timer_fired(time_point now, duration lateness);
 
     bool is_busy() const { return m_is_busy; }
-    // Share of the capacity in the last interval.
-    double share() const { return m_share; }
+    // Mean lateness in the last interval.
+    duration lateness() const { return m_mean; }
 
 private:
+    bool judge();
+
     load_meter_options m_options;
-    double m_cores;
     time_point m_since{};
-    duration m_used_before{0};
-    double m_share = 0;
-    std::uint32_t m_calm = 0;
+    duration m_sum{0};
+    std::uint32_t m_count = 0;
+    duration m_mean{0};
+    std::uint32_t m_busy_intervals = 0;
+    std::uint32_t m_calm_intervals = 0;
     bool m_is_busy = false;
 };
 
-// Processor time of this process, of all its threads.
-duration processor_time();
-
 } // namespace tanagerspur
 
 #endif
--- a/tanagerspur/store/host_registration.hpp
+++ b/tanagerspur/store/host_registration.hpp
@@ -17,9 +17,9 @@
 {
     std::string key;
     // The entry of a host that was lost is gone after this time.
-    duration lease_length = std::chrono::seconds{4};
+    duration lease_length = std::chrono::seconds{10};
     // Three renewals in a lease: one may be lost.
-    duration renew_interval = std::chrono::milliseconds{1'300};
+    duration renew_interval = std::chrono::seconds{3};
     duration retry_interval = std::chrono::milliseconds{300};
 };
 
--- a/tanagerspur/store/relayed_store.cpp
+++ b/tanagerspur/store/relayed_store.cpp
@@ -88,9 +88,9 @@
 }
 
 void relayed_store::range(const std::string& prefix, const std::string& after_key,
-                          page_handler handler)
+                          bool may_be_stale, page_handler handler)
 {
-    m_direct.range(prefix, after_key, std::move(handler));
+    m_direct.range(prefix, after_key, may_be_stale, std::move(handler));
 }
 
 void relayed_store::open_lease(duration length, lease_handler handler)
--- a/tanagerspur/store/relayed_store.hpp
+++ b/tanagerspur/store/relayed_store.hpp
@@ -42,7 +42,7 @@
 
     const relay_counters& counters() const { return m_counters; }
 
-    void range(const std::string& prefix, const std::string& after_key,
+    void range(const std::string& prefix, const std::string& after_key, bool may_be_stale,
                page_handler handler) override;
     void watch(const std::string& prefix, store_revision after, duration wait,
                change_handler handler) override;
--- a/tanagerspur/store/shared_store.hpp
+++ b/tanagerspur/store/shared_store.hpp
@@ -83,8 +83,9 @@
 
     virtual ~shared_store() = default;
 
-    // Reads the keys with the prefix that follow the given one, in order.
-    virtual void range(const std::string& prefix, const std::string& after_key,
+    // Reads the keys with the prefix that follow the given one, in order. A stale read is cheaper
+    // and may be seconds old; as_of tells how old.
+    virtual void range(const std::string& prefix, const std::string& after_key, bool may_be_stale,
                        page_handler handler) = 0;
     // Answers with the changes after the revision: as soon as there are any, or after the wait.
     virtual void watch(const std::string& prefix, store_revision after, duration wait,
--- a/tanagerspur/store/store_mirror.cpp
+++ b/tanagerspur/store/store_mirror.cpp
@@ -24,38 +24,71 @@
 }
 
 void store_mirror::start()
+{
+    read_all(true);
+}
+
+void store_mirror::read_all(bool may_be_stale)
 {
     m_loading.clear();
     m_is_first_page = true;
+    m_may_be_stale = may_be_stale;
     load("");
 }
 
 void store_mirror::load(const std::string& after_key)
 {
-    m_store.range("", after_key, [this](range_page page) { on_page(std::move(page)); });
+    m_store.range("", after_key, m_may_be_stale,
+                  [this](range_page page) { on_page(std::move(page)); });
 }
 
 // Pages are no snapshot: changes between them are seen again by the watch, which goes on from the
-// revision of the first page.
+// revision of the oldest page.
 void store_mirror::on_page(range_page page)
 {
     if (page.outcome != store_outcome::ok)
     {
         lost();
-        return retry([this] { start(); });
+        return retry([this] { read_all(m_may_be_stale); });
     }
-    if (std::exchange(m_is_first_page, false))
-        m_loading_as_of = page.as_of;
+    m_loading_as_of = std::exchange(m_is_first_page, false)
+                          ? page.as_of
+                          : std::min(m_loading_as_of, page.as_of);
     for (store_change& each : page.items)
         m_loading.push_back(std::move(each));
     if (page.is_truncated && !m_loading.empty())
         return load(m_loading.back().key);
+    if (m_may_be_stale)
+        return catch_up();
     regained();
+    take_over_snapshot();
+    m_observer.on_read();
+    watch(m_options.watch_wait);
+}
+
+void store_mirror::take_over_snapshot()
+{
     m_log.replace_all(m_loading, m_loading_as_of);
     m_observer.on_snapshot(m_loading);
-    m_observer.on_read();
     m_loading.clear();
-    watch(m_options.watch_wait);
+}
+
+void store_mirror::catch_up()
+{
+    m_store.watch("", m_loading_as_of, probe_wait,
+                  [this](change_list list)
+                  {
+                      if (list.outcome == store_outcome::history_lost)
+                          return read_all(false);
+                      if (list.outcome != store_outcome::ok)
+                      {
+                          lost();
+                          return retry([this] { read_all(true); });
+                      }
+                      regained();
+                      take_over_snapshot();
+                      on_changes(std::move(list));
+                  });
 }
 
 void store_mirror::watch(duration wait)
@@ -67,7 +100,7 @@
 void store_mirror::on_changes(change_list list)
 {
     if (list.outcome == store_outcome::history_lost)
-        return start();
+        return read_all(false);
     if (list.outcome != store_outcome::ok)
     {
         lost();
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -1,6 +1,9 @@
-// Keeps an observer up to date with all keys of the store: one range read, then one watch after
+// Keeps an observer up to date with all keys of the store: one full read, then one watch after
 // the other. After a failed watch, a short one shows whether the store is back before the next
 // long one waits; when the history is lost, everything is read again.
+//
+// The first full read may be stale, which is cheaper: the observer hears of it only with the
+// changes since then. If they are no longer known, a read that is not stale follows.
 
 #ifndef TANAGERSPUR_STORE_STORE_MIRROR_HPP
 #define TANAGERSPUR_STORE_STORE_MIRROR_HPP
@@ -57,7 +60,10 @@
     const change_log& log() const { return m_log; }
 
 private:
+    void read_all(bool may_be_stale);
     void load(const std::string& after_key);
+    void take_over_snapshot();
+    void catch_up();
     void on_page(range_page page);
     void watch(duration wait);
     void on_changes(change_list list);
@@ -73,6 +79,7 @@
     std::mt19937_64 m_random;
     std::vector<store_change> m_loading;
     bool m_is_first_page = true;
+    bool m_may_be_stale = true;
     bool m_is_connected = false;
     // Revision of the first page of a full read.
     store_revision m_loading_as_of;
