A replica whose address belongs to another one is left alone

Change: a misdirected answer rests the replica for longer than its entry outlives it. Test: forwarder_test, address_that_belongs_to_another_replica_is_left_alone; failed without the change.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -194,7 +194,9 @@
                       time_point now)
 {
     replica_estimate& estimate = ended.to->estimate;
-    if (outcome.load)
+    if (outcome.is_misdirected)
+        estimate.misdirected(now);
+    else if (outcome.load)
         estimate.load_reported(*outcome.load, now);
     switch (outcome.result)
     {
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -250,6 +250,10 @@
         std::any_of(used.begin(), used.end(),
                     [this](const host_record& each) { return each.id == m_settings.id; });
     const double hosts = static_cast<double>(std::max<std::size_t>(1, used.size()));
+    if (std::exchange(m_shared_among, is_used ? used.size() : 0) != (is_used ? used.size() : 0))
+        m_log.write("shares_changed", {{"used", is_used ? "true" : "false"},
+                                       {"used_hosts", number_text(used.size())},
+                                       {"known_hosts", number_text(m_directory.known_hosts())}});
     m_forwarder.set_retry_slack(is_used ? m_settings.retry_slack * retry_slack_share / hosts : 0.0,
                                 boot_now());
     if (m_table != nullptr)
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -124,6 +124,8 @@
     std::uint64_t m_next_exchange = 1;
     boost::asio::steady_timer m_tick_timer;
     time_point m_tick_due{};
+    // Hosts that share connections and extra attempts; 0 while this one is not used.
+    std::size_t m_shared_among = 0;
     bool m_has_snapshot = false;
     bool m_is_stopping = false;
     time_point m_started;
--- a/tanagerspur/registry/replica_estimate.cpp
+++ b/tanagerspur/registry/replica_estimate.cpp
@@ -25,6 +25,8 @@
 // Waits between tries to connect: doubled from the first to the last.
 constexpr duration first_connect_backoff = std::chrono::milliseconds{100};
 constexpr std::uint32_t max_connect_doublings = 4;
+// Longer than the entry of a replica outlives it: three silent heartbeats.
+constexpr duration misdirected_rest = std::chrono::seconds{6};
 
 double as_double(duration value)
 {
@@ -89,6 +91,11 @@
     m_under_way.erase(found);
 }
 
+void replica_estimate::misdirected(time_point now)
+{
+    m_retry_at = now + misdirected_rest;
+}
+
 void replica_estimate::connect_failed(time_point now)
 {
     m_retry_at =
--- a/tanagerspur/registry/replica_estimate.hpp
+++ b/tanagerspur/registry/replica_estimate.hpp
@@ -41,6 +41,9 @@
     // The caller's interest ended before the answer; nothing is learned beyond the wait so far.
     void attempt_abandoned(std::uint64_t attempt, time_point now);
 
+    // The address belongs to another replica: its entry is about to go.
+    void misdirected(time_point now);
+
     // No connection could be opened.
     void connect_failed(time_point now);
     void connected() { m_connect_failures = 0; }
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -147,9 +147,6 @@
     // Ends the attempt; the part of a success holds one record that names its shard.
     void end(std::uint64_t number, attempt_result result, int status = 200)
     {
-        sent_attempt& sent = m_sent.at(number);
-        if (std::exchange(sent.is_over, true))
-            return;
         attempt_outcome outcome{.result = result};
         if (result == attempt_result::answered)
         {
@@ -157,7 +154,14 @@
             outcome.answer.body = std::string(record_bytes, static_cast<char>('a' + number % 26));
             outcome.answer.signature = std::to_string(number);
         }
-        m_results[number] = result;
+        end(number, outcome);
+    }
+
+    void end(std::uint64_t number, const attempt_outcome& outcome)
+    {
+        if (std::exchange(m_sent.at(number).is_over, true))
+            return;
+        m_results[number] = outcome.result;
         m_forwarder.attempt_ended(number, outcome, m_now);
     }
 
@@ -362,6 +366,7 @@
     CPPUNIT_TEST(lost_request_that_may_have_run_is_not_refused);
     CPPUNIT_TEST(caller_that_leaves_ends_idempotent_attempts_only);
     CPPUNIT_TEST(hedges_leave_the_last_tokens_to_failures);
+    CPPUNIT_TEST(address_that_belongs_to_another_replica_is_left_alone);
     CPPUNIT_TEST(merge_agrees_with_sorting_everything);
     CPPUNIT_TEST_SUITE_END();
 
@@ -476,6 +481,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, at.m_sent.size());
     }
 
+    void address_that_belongs_to_another_replica_is_left_alone()
+    {
+        world at;
+        at.begin(route_kind::at_most_once);
+        const std::uint64_t first = at.open_attempts().at(0);
+        const replica_ref gone = at.m_sent[first].order.to;
+        attempt_outcome misdirected{.result = attempt_result::refused};
+        misdirected.is_misdirected = true;
+        at.end(first, misdirected);
+        for (int i = 0; i < 100; ++i)
+        {
+            at.begin(route_kind::at_most_once);
+            for (const std::uint64_t each : at.open_attempts())
+            {
+                CPPUNIT_ASSERT(at.m_sent[each].order.to != gone);
+                at.end(each, attempt_result::answered);
+            }
+            at.advance(std::chrono::milliseconds{50});
+        }
+    }
+
     void merge_agrees_with_sorting_everything()
     {
         const bool holds = rc::check(
