Requests that never left are refused truly; fewer store calls while the store is away

One process was killed at the end of its grace. Ruled out: answering 503 whenever the outcome is unknown (it must be true). Change: an attempt whose connection is still opening is taken back before the status is chosen; failed watches at the store rest 2 s, a watch in place of the readers waits 3 s, renewals back off to 2 s; stopping ends a second before the grace does. Test: request_that_never_left_is_refused_at_its_deadline.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -360,16 +360,33 @@
     return made;
 }
 
+bool forwarder::withdraw_all(exchange& of, time_point now)
+{
+    for (const leg& each : of.legs)
+        if (each.may_have_run || each.now == leg::state::done)
+            return false;
+    for (leg& each : of.legs)
+        std::erase_if(each.under_way,
+                      [this, now](std::uint64_t number)
+                      {
+                          if (!m_environment.withdraw(number))
+                              return false;
+                          const auto found = m_attempts.find(number);
+                          found->second.to->estimate.attempt_abandoned(number, now);
+                          m_attempts.erase(found);
+                          return true;
+                      });
+    return std::all_of(of.legs.begin(), of.legs.end(),
+                       [](const leg& each) { return each.under_way.empty(); });
+}
+
 caller_answer forwarder::make_answer(exchange& of, time_point now, std::string_view& cause)
 {
     std::size_t done = 0;
-    bool may_have_run = false;
     const leg* failed = nullptr;
     for (const leg& each : of.legs)
     {
         done += each.now == leg::state::done ? 1 : 0;
-        may_have_run |=
-            each.may_have_run || each.now == leg::state::done || !each.under_way.empty();
         if (each.now == leg::state::failed)
             failed = &each;
     }
@@ -385,7 +402,7 @@
         return {
             .status = from.status, .reason = from.reason, .fields = from.fields, .body = from.body};
     }
-    if (!may_have_run)
+    if (withdraw_all(of, now))
     {
         cause = failed != nullptr ? failed->cause : "deadline";
         return make_refusal(of);
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -104,6 +104,9 @@
     virtual void end_by(std::uint64_t attempt, time_point end) = 0;
     // Gives an attempt up now by closing its connection, so that the replica stops its work.
     virtual void abort(std::uint64_t attempt) = 0;
+    // Takes an attempt back if no byte of it has left this host; it then never will, and
+    // attempt_ended is not called for it.
+    virtual bool withdraw(std::uint64_t attempt) = 0;
     virtual bool has_room(const replica& at) = 0;
     virtual void answer(exchange_id exchange, caller_answer answer) = 0;
     // Calls forwarder::wake at the time; replaces the exchange's earlier timer.
@@ -211,6 +214,8 @@
     caller_answer make_answer(exchange& of, time_point now, std::string_view& cause);
     caller_answer make_scatter_answer(const exchange& of) const;
     caller_answer make_refusal(const exchange& of);
+    // True if no replica can have run the request, nor will; takes back what was not sent yet.
+    bool withdraw_all(exchange& of, time_point now);
     void finish(exchange& of, caller_answer* answer, std::string_view cause, time_point now);
 
     forwarder_options m_options;
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -23,7 +23,7 @@
 // After SIGTERM new connections are taken for this long: callers keep addresses a while.
 constexpr duration accept_while_stopping = std::chrono::milliseconds{3'500};
 // Left of the time to stop when the last requests are ended.
-constexpr duration stop_margin = std::chrono::milliseconds{500};
+constexpr duration stop_margin = std::chrono::milliseconds{1'000};
 // Time that the entries of other hosts are kept after they vanished around an outage.
 constexpr duration host_grace = std::chrono::seconds{3};
 // Retry-After while this host knows no configuration: a start takes some tenths of a second.
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -75,6 +75,7 @@
     void send(const attempt_order& order) override { m_pool.send(order); }
     void end_by(std::uint64_t attempt, time_point end) override { m_pool.end_by(attempt, end); }
     void abort(std::uint64_t attempt) override { m_pool.abort(attempt); }
+    bool withdraw(std::uint64_t attempt) override { return m_pool.withdraw(attempt); }
     bool has_room(const replica& at) override { return m_pool.has_room(at); }
     void answer(exchange_id exchange, caller_answer answer) override;
     void wake_at(exchange_id exchange, time_point when) override;
--- a/tanagerspur/net/replica_pool.cpp
+++ b/tanagerspur/net/replica_pool.cpp
@@ -187,6 +187,16 @@
         found->second.end = std::min(found->second.end, end);
 }
 
+bool replica_pool::withdraw(std::uint64_t attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() ||
+        found->second.on->current() != replica_connection::state::connecting)
+        return false;
+    m_attempts.erase(found);
+    return true;
+}
+
 void replica_pool::abort(std::uint64_t attempt)
 {
     const auto found = m_attempts.find(attempt);
--- a/tanagerspur/net/replica_pool.hpp
+++ b/tanagerspur/net/replica_pool.hpp
@@ -36,6 +36,7 @@
     void send(const attempt_order& order);
     void end_by(std::uint64_t attempt, time_point end);
     void abort(std::uint64_t attempt);
+    bool withdraw(std::uint64_t attempt);
     bool has_room(const replica& at) const;
 
     // Closes the idle connections of a replica that has left, and busy ones after their answers.
--- a/tanagerspur/store/host_registration.cpp
+++ b/tanagerspur/store/host_registration.cpp
@@ -1,5 +1,7 @@
 #include "tanagerspur/store/host_registration.hpp"
 
+#include <algorithm>
+
 namespace tanagerspur
 {
 
@@ -49,6 +51,12 @@
         });
 }
 
+void host_registration::retry()
+{
+    m_backoff = std::clamp(2 * m_backoff, m_options.first_retry, m_options.last_retry);
+    schedule(m_backoff);
+}
+
 // One call at a time: open a lease, write the entry under it, then renew.
 void host_registration::step()
 {
@@ -62,7 +70,7 @@
                            {
                                m_is_calling = false;
                                if (grant.outcome != store_outcome::ok)
-                                   return schedule(m_options.retry_interval);
+                                   return retry();
                                m_lease = grant.lease;
                                m_is_written = false;
                                step();
@@ -76,13 +84,16 @@
                         {
                             m_is_calling = false;
                             if (outcome == store_outcome::ok)
+                            {
+                                m_backoff = duration{0};
                                 return schedule(m_options.renew_interval);
+                            }
                             if (outcome == store_outcome::no_lease)
                             {
                                 m_lease.reset();
                                 return step();
                             }
-                            schedule(m_options.retry_interval);
+                            retry();
                         });
 }
 
@@ -99,9 +110,10 @@
                         return step();
                     }
                     if (outcome != store_outcome::ok)
-                        return schedule(m_options.retry_interval);
+                        return retry();
                     m_is_written = m_value == value;
-                    schedule(m_is_written ? m_options.renew_interval : m_options.retry_interval);
+                    m_backoff = duration{0};
+                    schedule(m_is_written ? m_options.renew_interval : duration{0});
                 });
 }
 
--- a/tanagerspur/store/host_registration.hpp
+++ b/tanagerspur/store/host_registration.hpp
@@ -20,7 +20,9 @@
     duration lease_length = std::chrono::seconds{10};
     // Three renewals in a lease: one may be lost.
     duration renew_interval = std::chrono::seconds{3};
-    duration retry_interval = std::chrono::milliseconds{300};
+    // After failed calls: doubled from the first to the last.
+    duration first_retry = std::chrono::milliseconds{300};
+    duration last_retry = std::chrono::seconds{2};
 };
 
 class host_registration
@@ -42,12 +44,14 @@
     void step();
     void write();
     void schedule(duration wait);
+    void retry();
 
     shared_store& m_store;
     registration_options m_options;
     boost::asio::steady_timer m_timer;
     std::string m_value;
     std::optional<lease_id> m_lease;
+    duration m_backoff{0};
     bool m_is_written = false;
     bool m_is_calling = false;
     bool m_is_withdrawn = false;
--- a/tanagerspur/store/relayed_store.cpp
+++ b/tanagerspur/store/relayed_store.cpp
@@ -2,6 +2,8 @@
 
 #include "tanagerspur/store/relay_server.hpp"
 
+#include <boost/asio/post.hpp>
+
 namespace tanagerspur
 {
 
@@ -10,6 +12,8 @@
 
 // A relayed configuration of several thousand routes is some megabytes long.
 constexpr std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
+// Shorter watches only ask whether the store answers.
+constexpr duration min_long_wait = std::chrono::milliseconds{100};
 
 } // namespace
 
@@ -44,9 +48,28 @@
     const reader_candidate* reader = next_reader(boot_now());
     if (reader != nullptr)
         return follow(reader_candidate{*reader}, std::move(watch));
-    if (!m_readers.empty())
-        ++m_counters.fallbacks;
-    m_direct.watch(watch.prefix, watch.after, watch.wait, std::move(watch.handler));
+    if (m_readers.empty())
+        return m_direct.watch(watch.prefix, watch.after, watch.wait, std::move(watch.handler));
+    fall_back(std::move(watch));
+}
+
+void relayed_store::fall_back(pending_watch watch)
+{
+    if (boot_now() < m_store_failed_until)
+    {
+        boost::asio::post(m_io, [handler = std::move(watch.handler)] { handler({}); });
+        return;
+    }
+    ++m_counters.fallbacks;
+    // A short watch is a probe and stays one.
+    const duration wait = watch.wait < min_long_wait ? watch.wait : m_options.fallback_wait;
+    m_direct.watch(watch.prefix, watch.after, wait,
+                   [this, handler = std::move(watch.handler)](change_list list)
+                   {
+                       if (list.outcome == store_outcome::unavailable)
+                           m_store_failed_until = boot_now() + m_options.failed_store_rest;
+                       handler(std::move(list));
+                   });
 }
 
 void relayed_store::follow(const reader_candidate& reader, pending_watch watch)
--- a/tanagerspur/store/relayed_store.hpp
+++ b/tanagerspur/store/relayed_store.hpp
@@ -22,6 +22,11 @@
     duration call_timeout = std::chrono::milliseconds{500};
     // A reader that failed is left alone for this time.
     duration failed_reader_rest = std::chrono::milliseconds{1'500};
+    // Wait of a watch at the store when no reader answers: all hosts ask at once then, and their
+    // calls are paid for. Probes of the connection find a silent one sooner.
+    duration fallback_wait = std::chrono::seconds{3};
+    // After the store failed as well, it is asked again no sooner than this.
+    duration failed_store_rest = std::chrono::seconds{2};
 };
 
 struct relay_counters
@@ -68,12 +73,14 @@
     void ask(const connection_ref& on, const host_id& reader, pending_watch watch);
     void reader_failed(const host_id& reader, pending_watch watch);
     void run(pending_watch watch);
+    void fall_back(pending_watch watch);
 
     boost::asio::io_context& m_io;
     shared_store& m_direct;
     relay_options m_options;
     std::vector<reader_candidate> m_readers;
     std::map<host_id, time_point> m_failed_until;
+    time_point m_store_failed_until{};
     std::map<host_id, connection_ref> m_connections;
     relay_counters m_counters;
 };
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -28,7 +28,7 @@
     duration gather_pause = std::chrono::milliseconds{100};
     // Waits between failed calls: doubled from the first to the last, with jitter.
     duration first_backoff = std::chrono::milliseconds{60};
-    duration last_backoff = std::chrono::milliseconds{500};
+    duration last_backoff = std::chrono::seconds{1};
     std::uint64_t seed = 1;
 };
 
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -186,6 +186,8 @@
     void send(const attempt_order& order) override
     {
         m_sent[order.number] = {.order = order};
+        if (order.number % 7 == 0)
+            m_connecting.insert(order.number);
         const std::uint64_t request = std::stoull(order.request->id.value());
         request_trace& trace = m_traces.at(request);
         RC_ASSERT(order.deadline <= trace.begun + std::chrono::milliseconds{300});
@@ -210,6 +212,14 @@
     }
     void abort(std::uint64_t attempt) override { m_aborted.insert(attempt); }
     bool has_room(const replica&) override { return true; }
+    bool withdraw(std::uint64_t attempt) override
+    {
+        if (!m_connecting.contains(attempt) || m_sent.at(attempt).is_over)
+            return false;
+        m_sent.at(attempt).is_over = true;
+        m_results[attempt] = attempt_result::not_sent;
+        return true;
+    }
 
     void answer(exchange_id exchange, caller_answer answer) override
     {
@@ -249,6 +259,8 @@
     std::map<std::uint64_t, request_trace> m_traces;
     std::map<std::uint64_t, time_point> m_wakes;
     std::set<std::uint64_t> m_aborted;
+    // Attempts whose connections are not open yet.
+    std::set<std::uint64_t> m_connecting;
     std::set<std::uint64_t> m_ending;
     std::uint64_t m_next_request = 1;
     std::map<service_id, std::vector<time_point>> m_asked;
@@ -364,6 +376,7 @@
     CPPUNIT_TEST(paused_replica_is_hedged_before_the_objective);
     CPPUNIT_TEST(partial_answer_comes_in_time_for_the_objective);
     CPPUNIT_TEST(lost_request_that_may_have_run_is_not_refused);
+    CPPUNIT_TEST(request_that_never_left_is_refused_at_its_deadline);
     CPPUNIT_TEST(caller_that_leaves_ends_idempotent_attempts_only);
     CPPUNIT_TEST(hedges_leave_the_last_tokens_to_failures);
     CPPUNIT_TEST(address_that_belongs_to_another_replica_is_left_alone);
@@ -456,6 +469,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, at.m_sent.size());
     }
 
+    void request_that_never_left_is_refused_at_its_deadline()
+    {
+        world at;
+        const std::uint64_t request = at.begin(route_kind::at_most_once);
+        at.m_connecting.insert(at.open_attempts().at(0));
+        at.advance(std::chrono::milliseconds{301});
+        CPPUNIT_ASSERT_EQUAL(503, at.m_traces[request].answers.at(0).status);
+        const std::uint64_t sent = at.begin(route_kind::at_most_once);
+        at.advance(std::chrono::milliseconds{301});
+        CPPUNIT_ASSERT_EQUAL(504, at.m_traces[sent].answers.at(0).status);
+    }
+
     void caller_that_leaves_ends_idempotent_attempts_only()
     {
         world at;
