Tests of the server for callers, the mirror, the relay, the formats and what hosts share out

Cause: the forwarding path had tests of its decisions only. Change: what the entry should say is counted, and compared with what the store acknowledged. Conclusion: entry_comes_back_after_lost_leases_and_outages failed before, passes now.

--- a/tanagerspur/store/host_registration.cpp
+++ b/tanagerspur/store/host_registration.cpp
@@ -18,15 +18,15 @@
     if (m_value == value || m_is_withdrawn)
         return;
     m_value = value;
-    m_is_written = false;
+    ++m_generation;
     step();
 }
 
 void host_registration::entry_lost()
 {
-    if (m_value.empty() || m_is_withdrawn || !m_is_written)
+    if (m_value.empty() || m_is_withdrawn)
         return;
-    m_is_written = false;
+    ++m_generation;
     step();
 }
 
@@ -72,12 +72,12 @@
                                if (grant.outcome != store_outcome::ok)
                                    return retry();
                                m_lease = grant.lease;
-                               m_is_written = false;
+                               ++m_generation;
                                step();
                            });
         return;
     }
-    if (!m_is_written)
+    if (!is_written())
         return write();
     m_store.renew_lease(*m_lease,
                         [this](store_outcome outcome)
@@ -86,7 +86,7 @@
                             if (outcome == store_outcome::ok)
                             {
                                 m_backoff = duration{0};
-                                return schedule(m_options.renew_interval);
+                                return is_written() ? schedule(m_options.renew_interval) : step();
                             }
                             if (outcome == store_outcome::no_lease)
                             {
@@ -99,9 +99,8 @@
 
 void host_registration::write()
 {
-    const std::string value = m_value;
-    m_store.put(m_options.key, value, *m_lease,
-                [this, value](store_outcome outcome)
+    m_store.put(m_options.key, m_value, *m_lease,
+                [this, generation = m_generation](store_outcome outcome)
                 {
                     m_is_calling = false;
                     if (outcome == store_outcome::no_lease)
@@ -111,9 +110,11 @@
                     }
                     if (outcome != store_outcome::ok)
                         return retry();
-                    m_is_written = m_value == value;
+                    m_written = generation;
                     m_backoff = duration{0};
-                    schedule(m_is_written ? m_options.renew_interval : duration{0});
+                    if (!is_written())
+                        return step();
+                    schedule(m_options.renew_interval);
                 });
 }
 
--- a/tanagerspur/store/host_registration.hpp
+++ b/tanagerspur/store/host_registration.hpp
@@ -43,6 +43,7 @@
 private:
     void step();
     void write();
+    bool is_written() const { return m_written == m_generation; }
     void schedule(duration wait);
     void retry();
 
@@ -52,7 +53,10 @@
     std::string m_value;
     std::optional<lease_id> m_lease;
     duration m_backoff{0};
-    bool m_is_written = false;
+    // What the entry should say is a new generation each time; written is the one that the store
+    // has acknowledged. An entry that vanishes while it is being written counts as a new one too.
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_written = 0;
     bool m_is_calling = false;
     bool m_is_withdrawn = false;
 };
--- /dev/null
+++ b/tanagerspur/testing/fake_shared_store.cpp
@@ -0,0 +1,172 @@
+#include "tanagerspur/testing/fake_shared_store.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace tanagerspur::testing
+{
+
+template<class Handler, class Value> void fake_shared_store::post(Handler handler, Value value)
+{
+    boost::asio::post(m_io, [handler = std::move(handler), value = std::move(value)]() mutable
+                      { handler(std::move(value)); });
+}
+
+void fake_shared_store::record(store_change change)
+{
+    m_revision = store_revision{m_revision.value() + 1};
+    change.revision = m_revision;
+    if (change.value)
+        m_items[change.key] = change;
+    else
+        m_items.erase(change.key);
+    m_history.push_back(std::move(change));
+    answer_watches();
+}
+
+void fake_shared_store::set(const std::string& key, const std::string& value)
+{
+    record({.key = key, .value = value});
+}
+
+void fake_shared_store::erase(const std::string& key)
+{
+    record({.key = key});
+}
+
+void fake_shared_store::compact()
+{
+    m_history.clear();
+    m_history_begin = m_revision;
+    for (waiting_watch& each : m_watches)
+        post(each.handler, change_list{});
+    m_watches.clear();
+}
+
+void fake_shared_store::set_away(bool is_away)
+{
+    m_is_away = is_away;
+    if (!is_away)
+        return;
+    for (waiting_watch& each : m_watches)
+        post(each.handler, change_list{});
+    m_watches.clear();
+}
+
+void fake_shared_store::end_all_leases()
+{
+    const auto leases = std::move(m_leases);
+    m_leases.clear();
+    for (const auto& [lease, keys] : leases)
+        for (const std::string& key : keys)
+            if (m_items.contains(key))
+                erase(key);
+}
+
+void fake_shared_store::range(const std::string& prefix, const std::string& after_key,
+                              bool may_be_stale, page_handler handler)
+{
+    ++m_calls.ranges;
+    range_page page;
+    if (!m_is_away)
+    {
+        const bool is_stale = may_be_stale && m_stale_as_of.value() > 0;
+        const auto& items = is_stale ? m_stale : m_items;
+        page.outcome = store_outcome::ok;
+        page.as_of = is_stale ? m_stale_as_of : m_revision;
+        for (auto at = items.upper_bound(after_key); at != items.end(); ++at)
+        {
+            if (!at->first.starts_with(prefix))
+                continue;
+            page.is_truncated = page.items.size() == page_size;
+            if (page.is_truncated)
+                break;
+            page.items.push_back(at->second);
+        }
+    }
+    post(std::move(handler), std::move(page));
+}
+
+change_list fake_shared_store::changes_after(store_revision after) const
+{
+    if (after < m_history_begin)
+        return {.outcome = store_outcome::history_lost};
+    change_list list{.outcome = store_outcome::ok, .as_of = m_revision};
+    for (const store_change& each : m_history)
+        if (each.revision > after)
+            list.changes.push_back(each);
+    return list;
+}
+
+void fake_shared_store::watch(const std::string& /*prefix*/, store_revision after, duration wait,
+                              change_handler handler)
+{
+    ++m_calls.watches;
+    if (m_is_away)
+        return post(std::move(handler), change_list{});
+    change_list list = changes_after(after);
+    if (list.outcome != store_outcome::ok || !list.changes.empty())
+        return post(std::move(handler), std::move(list));
+    // The timer may fire a little early by this clock, and there is no second one.
+    m_watches.push_back({.after = after,
+                         .end = boot_now() + wait - std::chrono::milliseconds{1},
+                         .handler = std::move(handler)});
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
+    timer->async_wait([this, timer](boost::system::error_code) { answer_watches(); });
+}
+
+void fake_shared_store::answer_watches()
+{
+    const time_point now = boot_now();
+    m_watches.remove_if(
+        [&](waiting_watch& each)
+        {
+            change_list list = changes_after(each.after);
+            if (list.changes.empty() && now < each.end)
+                return false;
+            post(each.handler, std::move(list));
+            return true;
+        });
+}
+
+void fake_shared_store::open_lease(duration /*length*/, lease_handler handler)
+{
+    ++m_calls.writes;
+    if (m_is_away)
+        return post(std::move(handler), lease_grant{});
+    const lease_id made{m_next_lease++};
+    m_leases[made];
+    post(std::move(handler), lease_grant{.outcome = store_outcome::ok, .lease = made});
+}
+
+void fake_shared_store::renew_lease(lease_id lease, done_handler handler)
+{
+    ++m_calls.renewals;
+    const store_outcome known =
+        m_leases.contains(lease) ? store_outcome::ok : store_outcome::no_lease;
+    post(std::move(handler), m_is_away ? store_outcome::unavailable : known);
+}
+
+void fake_shared_store::end_lease(lease_id lease, done_handler handler)
+{
+    ++m_calls.writes;
+    for (const std::string& key : m_leases[lease])
+        erase(key);
+    m_leases.erase(lease);
+    post(std::move(handler), store_outcome::ok);
+}
+
+void fake_shared_store::put(const std::string& key, const std::string& value, lease_id lease,
+                            done_handler handler)
+{
+    ++m_calls.writes;
+    if (m_is_away)
+        return post(std::move(handler), store_outcome::unavailable);
+    if (!m_leases.contains(lease))
+        return post(std::move(handler), store_outcome::no_lease);
+    m_leases[lease].push_back(key);
+    set(key, value);
+    post(std::move(handler), store_outcome::ok);
+}
+
+} // namespace tanagerspur::testing
--- /dev/null
+++ b/tanagerspur/testing/gateway_test.cpp
@@ -0,0 +1,269 @@
+// What hosts share out without agreeing on it: callers, extra attempts, and who is busy; and the
+// settings and log lines of the daemon.
+
+#include "tanagerspur/common/event_log.hpp"
+#include "tanagerspur/forwarding/retry_window.hpp"
+#include "tanagerspur/gateway/host_directory.hpp"
+#include "tanagerspur/gateway/load_meter.hpp"
+#include "tanagerspur/gateway/settings.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <set>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+time_point at_ms(std::int64_t ms)
+{
+    return time_point{std::chrono::milliseconds{100'000 + ms}};
+}
+
+host_record make_host(const std::string& id, const std::string& zone, std::uint32_t capacity)
+{
+    return {.id = host_id{id},
+            .zone = zone_id{zone},
+            .callers = {.address = "10.0.0.1", .port = static_cast<std::uint16_t>(std::stoi(id))},
+            .capacity = capacity,
+            .is_ready = true};
+}
+
+// A fleet of three zones, as one of its hosts sees it.
+host_directory make_fleet(std::size_t large, std::size_t small)
+{
+    host_directory directory{make_host("1", "a", large > 0 ? 500 : 250)};
+    int number = 2;
+    for (const char* zone : {"a", "b", "c"})
+    {
+        for (std::size_t i = *zone == 'a' ? 1 : 0; i < large; ++i)
+            directory.put(make_host(std::to_string(number++), zone, 500));
+        for (std::size_t i = *zone == 'a' && large == 0 ? 1 : 0; i < small; ++i)
+            directory.put(make_host(std::to_string(number++), zone, large > 0 ? 120 : 250));
+    }
+    return directory;
+}
+
+const std::string valid_settings = R"([host]
+id = h1
+zone = a
+cores = 0.25
+[listen]
+callers = 10.0.0.1:80
+readiness = 10.0.0.1:81
+directory = 10.0.0.1:82
+metrics = 10.0.0.1:83
+peers = 10.0.0.1:84
+[platform]
+store = 10.0.0.9:90
+[bounds]
+retry_ratio = 0.2
+retry_slack = 54
+stop_within_s = 6
+)";
+
+std::string settings_error(const std::string& text)
+{
+    const auto parsed = capture([&] { return parse_gateway_settings("file.ini", text); });
+    const auto* error = std::get_if<input_error>(&parsed);
+    return error != nullptr ? to_string(*error) : "";
+}
+
+} // namespace
+
+class gateway_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(gateway_test);
+    CPPUNIT_TEST(callers_are_sent_to_the_largest_hosts_of_their_zone);
+    CPPUNIT_TEST(all_hosts_are_used_while_one_is_busy);
+    CPPUNIT_TEST(zone_without_two_ready_hosts_shares_the_others);
+    CPPUNIT_TEST(vanished_hosts_are_kept_for_a_while);
+    CPPUNIT_TEST(every_host_finds_the_same_hosts_used);
+    CPPUNIT_TEST(window_never_holds_more_than_is_allowed);
+    CPPUNIT_TEST(growing_share_is_usable_after_a_window_only);
+    CPPUNIT_TEST(late_timers_make_a_host_busy_until_it_is_calm_again);
+    CPPUNIT_TEST(settings_name_the_place_of_an_error);
+    CPPUNIT_TEST(log_values_are_escaped);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void callers_are_sent_to_the_largest_hosts_of_their_zone()
+    {
+        const host_directory fleet = make_fleet(2, 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, fleet.used_hosts().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.addresses(zone_id{"b"}, 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, fleet.addresses(zone_id{"elsewhere"}, 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.addresses(zone_id{"elsewhere"}, 4).size());
+        // Without large hosts, a quarter of the zone's capacity needs more of them.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{15}, make_fleet(0, 20).used_hosts().size());
+    }
+
+    void all_hosts_are_used_while_one_is_busy()
+    {
+        host_directory fleet = make_fleet(2, 20);
+        host_record busy = make_host("2", "a", 500);
+        busy.is_busy = true;
+        fleet.put(busy);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{66}, fleet.used_hosts().size());
+    }
+
+    void zone_without_two_ready_hosts_shares_the_others()
+    {
+        host_directory fleet{make_host("1", "a", 250)};
+        fleet.put(make_host("2", "b", 250));
+        fleet.put(make_host("3", "b", 250));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.addresses(zone_id{"a"}, 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.addresses(zone_id{"b"}, 64).size());
+        fleet.set_self(false, false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.addresses(zone_id{"a"}, 64).size());
+    }
+
+    void vanished_hosts_are_kept_for_a_while()
+    {
+        host_directory fleet{make_host("1", "a", 250)};
+        fleet.put(make_host("2", "a", 250));
+        fleet.remove(host_id{"2"}, at_ms(100));
+        fleet.tick(at_ms(99));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.known_hosts());
+        fleet.put(make_host("2", "a", 250));
+        fleet.tick(at_ms(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.known_hosts());
+        fleet.keep_only({}, at_ms(300));
+        fleet.tick(at_ms(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.known_hosts());
+    }
+
+    void every_host_finds_the_same_hosts_used()
+    {
+        const bool holds = rc::check(
+            []
+            {
+                std::vector<host_record> hosts;
+                const int count = *rc::gen::inRange(1, 40);
+                for (int i = 1; i <= count; ++i)
+                    hosts.push_back(make_host(
+                        std::to_string(i), std::string(1, *rc::gen::elementOf(std::string{"abc"})),
+                        *rc::gen::elementOf(std::vector<std::uint32_t>{120, 250, 500})));
+                std::optional<std::set<host_id>> expected;
+                for (const host_record& self : hosts)
+                {
+                    host_directory directory{self};
+                    for (const host_record& other : hosts)
+                        directory.put(other);
+                    std::set<host_id> used;
+                    for (const host_record& each : directory.used_hosts())
+                        used.insert(each.id);
+                    if (!expected)
+                        expected = used;
+                    RC_ASSERT(used == *expected);
+                    RC_ASSERT(!used.empty());
+                }
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Against a list of all requests and extra attempts, over every window that ends now.
+    void window_never_holds_more_than_is_allowed()
+    {
+        const bool holds = rc::check(
+            []
+            {
+                retry_window window{{.ratio = 0.2, .length = std::chrono::seconds{10}}};
+                std::deque<time_point> requests;
+                std::deque<time_point> extras;
+                std::int64_t now = 0;
+                const auto steps = *rc::gen::container<std::vector<std::int64_t>>(
+                    rc::gen::inRange<std::int64_t>(0, 900));
+                for (const std::int64_t each : steps)
+                {
+                    now += each % 300;
+                    if (each < 600)
+                    {
+                        window.count_request(at_ms(now));
+                        requests.push_back(at_ms(now));
+                    }
+                    else if (window.left(at_ms(now), 3) >= 1)
+                    {
+                        window.spend(at_ms(now));
+                        extras.push_back(at_ms(now));
+                    }
+                    const time_point begin = at_ms(now) - std::chrono::seconds{10};
+                    while (!requests.empty() && requests.front() <= begin)
+                        requests.pop_front();
+                    while (!extras.empty() && extras.front() <= begin)
+                        extras.pop_front();
+                    RC_ASSERT(window.left(at_ms(now), 3) <=
+                              3 + 0.2 * static_cast<double>(requests.size()) -
+                                  static_cast<double>(extras.size()) + 1e-9);
+                }
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void growing_share_is_usable_after_a_window_only()
+    {
+        slack_share share{std::chrono::seconds{10}};
+        share.set(8, at_ms(0));
+        CPPUNIT_ASSERT_EQUAL(0.0, share.at(at_ms(0)));
+        CPPUNIT_ASSERT_EQUAL(4.0, share.at(at_ms(5'000)));
+        share.set(2, at_ms(5'000));
+        CPPUNIT_ASSERT_EQUAL(2.0, share.at(at_ms(5'000)));
+        share.set(6, at_ms(6'000));
+        CPPUNIT_ASSERT_EQUAL(2.0, share.at(at_ms(6'000)));
+        CPPUNIT_ASSERT_EQUAL(6.0, share.at(at_ms(20'000)));
+    }
+
+    void late_timers_make_a_host_busy_until_it_is_calm_again()
+    {
+        load_meter meter;
+        std::int64_t now = 0;
+        const auto run = [&](std::chrono::milliseconds late, int seconds)
+        {
+            for (int i = 0; i < 20 * seconds; ++i)
+                meter.timer_fired(at_ms(now += 50), late);
+        };
+        run(std::chrono::milliseconds{0}, 3);
+        run(std::chrono::milliseconds{30}, 1);
+        run(std::chrono::milliseconds{0}, 1);
+        CPPUNIT_ASSERT(!meter.is_busy());
+        run(std::chrono::milliseconds{30}, 3);
+        CPPUNIT_ASSERT(meter.is_busy());
+        run(std::chrono::milliseconds{0}, 8);
+        CPPUNIT_ASSERT(meter.is_busy());
+        run(std::chrono::milliseconds{0}, 4);
+        CPPUNIT_ASSERT(!meter.is_busy());
+    }
+
+    void settings_name_the_place_of_an_error()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{}, settings_error(valid_settings));
+        for (const auto& [from, to, part] :
+             {std::tuple{"cores = 0.25", "cores = many", "cores"},
+              std::tuple{"retry_ratio = 0.2", "retry_ratio = 1.2", "retry_ratio"},
+              std::tuple{"callers = 10.0.0.1:80", "callers = here:80", "callers"},
+              std::tuple{"stop_within_s = 6", "stop_within_s = 0", "stop_within_s"},
+              std::tuple{"stop_within_s", "stop_in_s", "stop_in_s"},
+              std::tuple{"zone = a\n", "", "zone"}})
+        {
+            std::string text = valid_settings;
+            text.replace(text.find(from), std::string_view{from}.size(), to);
+            const std::string error = settings_error(text);
+            CPPUNIT_ASSERT_MESSAGE(error, error.find(part) != std::string::npos);
+        }
+    }
+
+    void log_values_are_escaped()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"a-1:b/c"}, escape_value("a-1:b/c"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"\"\""}, escape_value(""));
+        CPPUNIT_ASSERT_EQUAL(std::string{"\"a b=\\\"c\\\"\\n\""}, escape_value("a b=\"c\"\n"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_test);
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/testing/mirror_test.cpp
@@ -0,0 +1,384 @@
+// The mirror of the store, the relay between hosts and a host's own entry, through outages, lost
+// history, stale reads and lost readers.
+
+#include "tanagerspur/net/http_server.hpp"
+#include "tanagerspur/store/host_registration.hpp"
+#include "tanagerspur/store/reader_choice.hpp"
+#include "tanagerspur/store/relay_server.hpp"
+#include "tanagerspur/store/relayed_store.hpp"
+#include "tanagerspur/store/store_mirror.hpp"
+#include "tanagerspur/testing/fake_shared_store.hpp"
+#include "tanagerspur/testing/scripted_server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+using testing::fake_shared_store;
+using testing::run_until;
+
+using contents = std::map<std::string, std::string>;
+
+// What an observer of a mirror believes.
+class believer final : public mirror_observer
+{
+public:
+    void on_snapshot(const std::vector<store_change>& items) override
+    {
+        m_keys.clear();
+        for (const store_change& each : items)
+            m_keys[each.key] = *each.value;
+        ++m_snapshots;
+    }
+    void on_change(const store_change& change) override
+    {
+        if (change.value)
+            m_keys[change.key] = *change.value;
+        else
+            m_keys.erase(change.key);
+    }
+    void on_read() override
+    {
+        if (m_on_read)
+            m_on_read();
+    }
+    void on_store_lost() override { ++m_lost; }
+    void on_store_regained() override { ++m_regained; }
+
+    contents m_keys;
+    int m_snapshots = 0;
+    int m_lost = 0;
+    int m_regained = 0;
+    std::function<void()> m_on_read;
+};
+
+contents contents_of(const fake_shared_store& store)
+{
+    contents found;
+    for (const auto& [key, item] : store.items())
+        found[key] = *item.value;
+    return found;
+}
+
+mirror_options fast_options()
+{
+    return {.watch_wait = std::chrono::milliseconds{50},
+            .gather_pause = std::chrono::milliseconds{1},
+            .first_backoff = std::chrono::milliseconds{2},
+            .last_backoff = std::chrono::milliseconds{10}};
+}
+
+reader_candidate make_candidate(const std::string& id, const std::string& zone,
+                                std::uint32_t capacity)
+{
+    return {.id = host_id{id}, .zone = zone_id{zone}, .capacity = capacity};
+}
+
+} // namespace
+
+class mirror_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(mirror_test);
+    CPPUNIT_TEST(mirror_follows_the_store_through_faults);
+    CPPUNIT_TEST(stale_first_read_is_shown_only_with_the_changes_since);
+    CPPUNIT_TEST(outage_is_told_before_the_changes_that_follow_it);
+    CPPUNIT_TEST(change_log_gives_followers_what_they_lack);
+    CPPUNIT_TEST(followers_hear_changes_and_losses_from_a_reader);
+    CPPUNIT_TEST(follower_turns_to_the_store_when_its_reader_has_lost_it);
+    CPPUNIT_TEST(failed_store_is_not_asked_by_all_again_and_again);
+    CPPUNIT_TEST(readers_are_few_large_and_in_different_zones);
+    CPPUNIT_TEST(entry_comes_back_after_lost_leases_and_outages);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_io.emplace();
+        m_store.emplace(*m_io);
+    }
+
+    void mirror_follows_the_store_through_faults()
+    {
+        believer told;
+        store_mirror mirror(*m_io, *m_store, fast_options(), told);
+        for (const char* key : {"a", "b", "c", "d", "e"})
+            m_store->set(key, "1");
+        mirror.start();
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys == contents_of(*m_store); }));
+        m_store->set("b", "2");
+        m_store->erase("c");
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys == contents_of(*m_store); }));
+        m_store->set_away(true);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_lost == 1; }));
+        m_store->erase("a");
+        m_store->set("f", "1");
+        m_store->set_away(false);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys == contents_of(*m_store); }));
+        const int snapshots = told.m_snapshots;
+        m_store->set_away(true);
+        m_store->erase("d");
+        m_store->compact();
+        m_store->set_away(false);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys == contents_of(*m_store); }));
+        CPPUNIT_ASSERT(told.m_snapshots > snapshots);
+        CPPUNIT_ASSERT(mirror.is_connected());
+    }
+
+    void stale_first_read_is_shown_only_with_the_changes_since()
+    {
+        believer told;
+        store_mirror mirror(*m_io, *m_store, fast_options(), told);
+        m_store->set("replica", "ready");
+        m_store->freeze_stale_reads();
+        m_store->erase("replica");
+        m_store->set("other", "ready");
+        bool has_seen_old_state = false;
+        told.m_on_read = [&] { has_seen_old_state |= told.m_keys.contains("replica"); };
+        mirror.start();
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys.contains("other"); }));
+        CPPUNIT_ASSERT(!has_seen_old_state);
+    }
+
+    void outage_is_told_before_the_changes_that_follow_it()
+    {
+        believer told;
+        store_mirror mirror(*m_io, *m_store, fast_options(), told);
+        mirror.start();
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_regained == 1; }));
+        m_store->set_away(true);
+        m_store->set("x", "1");
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_lost == 1; }));
+        told.m_on_read = [&] { CPPUNIT_ASSERT_EQUAL(2, told.m_regained); };
+        m_store->set_away(false);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys.contains("x"); }));
+    }
+
+    void change_log_gives_followers_what_they_lack()
+    {
+        const bool holds = rc::check(
+            []
+            {
+                change_log log{8};
+                contents now;
+                contents follower;
+                store_revision seen;
+                std::uint64_t revision = 10;
+                log.replace_all({}, store_revision{revision});
+                seen = store_revision{revision};
+                const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 30));
+                for (const int each : steps)
+                {
+                    const std::string key(1, static_cast<char>('a' + each % 5));
+                    const store_revision next{++revision};
+                    if (each < 10)
+                    {
+                        log.add({.key = key, .value = std::to_string(each), .revision = next});
+                        now[key] = std::to_string(each);
+                    }
+                    else if (each < 15)
+                    {
+                        log.add({.key = key, .revision = next});
+                        now.erase(key);
+                    }
+                    else if (each < 18)
+                    {
+                        // Changes that this host learns of by a full read.
+                        now[key] = std::to_string(each);
+                        now.erase("a");
+                        std::vector<store_change> items;
+                        for (const auto& [name, value] : now)
+                            items.push_back({.key = name,
+                                             .value = value,
+                                             .revision = name == key ? next : store_revision{1}});
+                        log.replace_all(items, next);
+                    }
+                    else
+                        follow(log, now, follower, seen);
+                }
+                follow(log, now, follower, seen);
+                RC_ASSERT(follower == now);
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void followers_hear_changes_and_losses_from_a_reader()
+    {
+        reader_host reader(*m_io, *m_store);
+        relayed_store relayed(*m_io, *m_store, {.call_timeout = std::chrono::milliseconds{200}});
+        relayed.set_readers({reader.candidate()});
+        believer told;
+        store_mirror follower(*m_io, relayed, fast_options(), told);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return reader.told.m_regained == 1; }));
+        follower.start();
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_regained >= 1; }));
+        const std::uint64_t watches = m_store->calls().watches;
+        m_store->set("x", std::string{"\0\xff", 2});
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys == contents_of(*m_store); }));
+        m_store->erase("x");
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys == contents_of(*m_store); }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, relayed.counters().fallbacks);
+        CPPUNIT_ASSERT(relayed.counters().watches > 1);
+        CPPUNIT_ASSERT(m_store->calls().watches > watches);
+        m_store->set_away(true);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_lost >= 1; }));
+    }
+
+    void follower_turns_to_the_store_when_its_reader_has_lost_it()
+    {
+        std::optional<reader_host> reader{std::in_place, *m_io, *m_store};
+        relayed_store relayed(*m_io, *m_store, {.call_timeout = std::chrono::milliseconds{100}});
+        relayed.set_readers({reader->candidate()});
+        believer told;
+        store_mirror follower(*m_io, relayed, fast_options(), told);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return reader->told.m_regained == 1; }));
+        follower.start();
+        m_store->set("x", "1");
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys.contains("x"); }));
+        reader->lose_store();
+        m_store->set("y", "1");
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys.contains("y"); }));
+        CPPUNIT_ASSERT(relayed.counters().fallbacks > 0);
+        CPPUNIT_ASSERT(follower.is_connected());
+    }
+
+    void failed_store_is_not_asked_by_all_again_and_again()
+    {
+        relayed_store relayed(*m_io, *m_store);
+        relayed.set_readers({make_candidate("gone", "a", 1)});
+        m_store->set_away(true);
+        int failures = 0;
+        std::function<void(change_list)> again = [&](change_list list)
+        {
+            CPPUNIT_ASSERT(list.outcome == store_outcome::unavailable);
+            if (++failures < 20)
+                relayed.watch("", store_revision{1}, std::chrono::milliseconds{1}, again);
+        };
+        relayed.watch("", store_revision{1}, std::chrono::milliseconds{1}, again);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return failures == 20; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_store->calls().watches);
+    }
+
+    void readers_are_few_large_and_in_different_zones()
+    {
+        std::vector<reader_candidate> hosts;
+        for (int i = 0; i < 70; ++i)
+            hosts.push_back(
+                make_candidate("h" + std::to_string(i), i % 2 == 0 ? "a" : "b", i < 4 ? 500 : 120));
+        const std::vector<reader_candidate> readers = choose_readers(hosts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, readers.size());
+        CPPUNIT_ASSERT(readers[0].zone != readers[1].zone);
+        for (const reader_candidate& each : readers)
+            CPPUNIT_ASSERT_EQUAL(500U, each.capacity);
+        std::reverse(hosts.begin(), hosts.end());
+        CPPUNIT_ASSERT(choose_readers(hosts)[0].id == readers[0].id);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{181}, choose_readers({7'200, hosts[0]}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, choose_readers({hosts[0]}).size());
+    }
+
+    void entry_comes_back_after_lost_leases_and_outages()
+    {
+        host_registration registration(*m_io, *m_store,
+                                       {.key = "me",
+                                        .renew_interval = std::chrono::milliseconds{5},
+                                        .first_retry = std::chrono::milliseconds{2},
+                                        .last_retry = std::chrono::milliseconds{5}});
+        const auto has = [&](const char* value)
+        {
+            const auto found = m_store->items().find("me");
+            return found != m_store->items().end() && found->second.value == value;
+        };
+        registration.publish("1");
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return has("1"); }));
+        m_store->end_all_leases();
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return has("1"); }));
+        m_store->set_away(true);
+        registration.publish("2");
+        m_store->end_all_leases();
+        m_io->restart();
+        m_io->run_for(std::chrono::milliseconds{20});
+        m_store->set_away(false);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return has("2"); }));
+        // The entry vanishes while its lease lives.
+        m_store->erase("me");
+        registration.entry_lost();
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return has("2"); }));
+        registration.withdraw();
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return !m_store->items().contains("me"); }));
+    }
+
+private:
+    // A host that reads the store and relays it.
+    struct reader_host
+    {
+        reader_host(boost::asio::io_context& io, shared_store& store)
+            : mirror(io, store, fast_options(), told)
+            , relay(mirror.log())
+        {
+            // The port is taken from the system and may be lost to another program in between.
+            for (std::uint16_t port = 21'000; !http; ++port)
+            {
+                listen = {.address = "127.0.0.1", .port = port};
+                http.emplace(io, http_server_options{.listen = listen}, relay);
+                if (!http->start().empty())
+                    http.reset();
+            }
+            told.m_on_read = [this]
+            {
+                relay.set_connected(mirror.is_connected(), boot_now());
+                relay.publish(boot_now());
+                relay.tick(boot_now());
+            };
+            mirror.start();
+        }
+
+        reader_candidate candidate() const
+        {
+            reader_candidate made = make_candidate("reader", "a", 1);
+            made.peers = listen;
+            return made;
+        }
+
+        // Can't reach the store any more.
+        void lose_store()
+        {
+            told.m_on_read = nullptr;
+            relay.set_connected(false, boot_now());
+        }
+
+        believer told;
+        store_mirror mirror;
+        relay_server relay;
+        endpoint listen;
+        std::optional<http_server> http;
+    };
+
+    static void follow(const change_log& log, const contents& now, contents& follower,
+                       store_revision& seen)
+    {
+        const auto changes = log.since(seen);
+        if (changes)
+            for (const store_change& each : *changes)
+                if (each.value)
+                    follower[each.key] = *each.value;
+                else
+                    follower.erase(each.key);
+        else
+            follower = now; // It reads the store itself.
+        seen = log.as_of();
+        RC_ASSERT(follower == now);
+    }
+
+    std::optional<boost::asio::io_context> m_io;
+    std::optional<fake_shared_store> m_store;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(mirror_test);
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/testing/platform_test.cpp
@@ -0,0 +1,272 @@
+// The platform's formats: what is read as it stands, and that entries which break the format in
+// any way name no replica to use and cost nothing else.
+
+#include "platform/codec.hpp"
+#include "platform/kv_store.hpp"
+#include "tanagerspur/common/base64.hpp"
+#include "tanagerspur/testing/scripted_server.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+const std::string replica_text =
+    R"({"service":"desk","address":"10.1.2.3:8080","zone":"a","version":"v1","slots":2,)"
+    R"("state":"ready","warmup-left-ms":1500,"seq":4,"born":1700000000000})";
+
+const std::string configuration_text =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r1","host":"h.example","prefix":"/a/","type":"idempotent","timeout-ms":400,)"
+    R"("target-latency-ms":40,"priority":2,"gather":["s1","s2"],"max-attempts":2,"top-k":5,)"
+    R"("min-coverage":0.75},)"
+    R"({"name":"r2","host":"h.example","prefix":"/b/","type":"non_idempotent","timeout-ms":2500,)"
+    R"("target-latency-ms":250,"priority":1,"max-attempts":1,)"
+    R"("traffic-split":[{"service":"x","weight":3},{"service":"y","weight":1}]},)"
+    R"({"name":"r3","host":"h.example","prefix":"/c/","type":"idempotent","timeout-ms":2500,)"
+    R"("target-latency-ms":250,"priority":1,"max-attempts":2,"service":"z"}],)"
+    R"("services":[{"name":"s1","health-path":"/health","max-connections":26}],)"
+    R"("limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,)"
+    R"("idle-timeout-ms":15000}})";
+
+bool is_usable(const std::string& text)
+{
+    const replica_value value = platform::codec{}.decode_replica(replica_id{"i"}, text);
+    return std::holds_alternative<replica_record>(value);
+}
+
+// The entry with one field replaced by a JSON value, or dropped when there is none.
+std::string with_field(const std::string& name, const std::string& json)
+{
+    boost::json::object entry = boost::json::parse(replica_text).as_object();
+    entry.erase(name);
+    if (!json.empty())
+        entry[name] = boost::json::parse(json);
+    return boost::json::serialize(entry);
+}
+
+} // namespace
+
+class platform_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(platform_test);
+    CPPUNIT_TEST(reads_a_replica);
+    CPPUNIT_TEST(entry_with_a_broken_field_names_no_replica);
+    CPPUNIT_TEST(entry_that_is_cut_or_changed_is_read_or_left_out);
+    CPPUNIT_TEST(reads_a_configuration);
+    CPPUNIT_TEST(broken_configuration_is_told_as_such);
+    CPPUNIT_TEST(own_entry_is_read_back);
+    CPPUNIT_TEST(keys_tell_what_they_hold);
+    CPPUNIT_TEST(base64_agrees_with_itself_and_known_values);
+    CPPUNIT_TEST(store_calls_are_made_and_read_as_documented);
+    CPPUNIT_TEST(store_failures_are_told_apart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void reads_a_replica()
+    {
+        const replica_value value =
+            platform::codec{}.decode_replica(replica_id{"i-1"}, replica_text);
+        const auto& record = std::get<replica_record>(value);
+        CPPUNIT_ASSERT_EQUAL(std::string{"i-1"}, record.id.value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"desk"}, record.service.value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"10.1.2.3:8080"}, to_string(record.address));
+        CPPUNIT_ASSERT_EQUAL(2U, record.slots);
+        CPPUNIT_ASSERT(record.warmup_left == duration{std::chrono::milliseconds{1'500}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1'700'000'000'000}, record.started_ms);
+    }
+
+    void entry_with_a_broken_field_names_no_replica()
+    {
+        CPPUNIT_ASSERT(is_usable(with_field("unknown", "1")));
+        for (const char* name :
+             {"service", "address", "zone", "version", "slots", "state", "warmup-left-ms", "seq"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(name, !is_usable(with_field(name, "")));
+            CPPUNIT_ASSERT_MESSAGE(name, !is_usable(with_field(name, "null")));
+            CPPUNIT_ASSERT_MESSAGE(name, !is_usable(with_field(name, "[1]")));
+            CPPUNIT_ASSERT_MESSAGE(name, !is_usable(with_field(name, "true")));
+        }
+        for (const char* name : {"slots", "seq", "born", "warmup-left-ms"})
+            for (const char* value : {"-1", "2.5", "\"2\"", "1e400"})
+                CPPUNIT_ASSERT_MESSAGE(std::string{name} + value, !try_field(name, value));
+        CPPUNIT_ASSERT(!is_usable(with_field("slots", "0")));
+        CPPUNIT_ASSERT(!is_usable(with_field("state", "\"gone\"")));
+        for (const char* address :
+             {"\"desk.example:80\"", "\"10.1.2.3\"", "\"10.1.2.3:0\"", "\"10.1.2.3:99999\""})
+            CPPUNIT_ASSERT_MESSAGE(address, !is_usable(with_field("address", address)));
+    }
+
+    void entry_that_is_cut_or_changed_is_read_or_left_out()
+    {
+        for (std::size_t length = 0; length < replica_text.size(); ++length)
+            CPPUNIT_ASSERT(!is_usable(replica_text.substr(0, length)));
+        const bool holds = rc::check(
+            []
+            {
+                std::string text = replica_text;
+                text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+                is_usable(text);
+                std::string configuration = configuration_text;
+                configuration[*rc::gen::inRange<std::size_t>(0, configuration.size())] =
+                    *rc::gen::arbitrary<char>();
+                platform::codec{}.decode_configuration(configuration);
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void reads_a_configuration()
+    {
+        const configuration_value value =
+            platform::codec{}.decode_configuration(configuration_text);
+        const auto& made = std::get<routing_configuration>(value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, made.version.value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, made.routes.size());
+        const route& scatter = made.routes[0];
+        CPPUNIT_ASSERT(scatter.is_idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, scatter.scatter->shards.size());
+        CPPUNIT_ASSERT_EQUAL(5U, scatter.scatter->top_records);
+        CPPUNIT_ASSERT_EQUAL(0.75, scatter.scatter->min_coverage);
+        const route& split = made.routes[1];
+        CPPUNIT_ASSERT(!split.is_idempotent);
+        CPPUNIT_ASSERT_EQUAL(3U, split.services[0].weight);
+        CPPUNIT_ASSERT_EQUAL(std::string{"z"}, made.routes[2].services[0].service.value());
+        CPPUNIT_ASSERT_EQUAL(26U, made.services.at(service_id{"s1"}).max_connections);
+        CPPUNIT_ASSERT(made.limits.idle_timeout == duration{std::chrono::seconds{15}});
+    }
+
+    void broken_configuration_is_told_as_such()
+    {
+        for (const auto& [from, to] :
+             {std::pair{"\"idempotent\"", "\"sometimes\""}, std::pair{"\"/a/\"", "\"/a\""},
+              std::pair{"0.75", "1.75"}, std::pair{"[\"s1\",\"s2\"]", "[]"},
+              std::pair{"\"version\":7", "\"version\":0"}})
+        {
+            std::string text = configuration_text;
+            text.replace(text.find(from), std::string_view{from}.size(), to);
+            const configuration_value value = platform::codec{}.decode_configuration(text);
+            CPPUNIT_ASSERT_MESSAGE(to, std::holds_alternative<malformed_value>(value));
+        }
+    }
+
+    void own_entry_is_read_back()
+    {
+        const platform::codec codec;
+        for (const bool is_ready : {false, true})
+        {
+            const host_record record{.id = host_id{"h"},
+                                     .zone = zone_id{"a"},
+                                     .callers = {.address = "10.0.0.1", .port = 80},
+                                     .peers = {.address = "10.0.0.1", .port = 81},
+                                     .capacity = 250,
+                                     .is_ready = is_ready,
+                                     .is_busy = is_ready};
+            const host_value read = codec.decode_host(record.id, codec.encode_host(record));
+            const auto& back = std::get<host_record>(read);
+            CPPUNIT_ASSERT(back.callers == record.callers && back.peers == record.peers);
+            CPPUNIT_ASSERT(back.is_ready == is_ready && back.is_busy == is_ready);
+            CPPUNIT_ASSERT_EQUAL(250U, back.capacity);
+        }
+    }
+
+    void keys_tell_what_they_hold()
+    {
+        const platform::codec codec;
+        CPPUNIT_ASSERT(std::holds_alternative<configuration_key>(codec.decode_key("op/config")));
+        CPPUNIT_ASSERT(std::get<replica_id>(codec.decode_key("servers/i-1")).value() == "i-1");
+        CPPUNIT_ASSERT(std::get<host_id>(codec.decode_key(codec.host_key(host_id{"h"}))).value() ==
+                       "h");
+        CPPUNIT_ASSERT(std::holds_alternative<foreign_key>(codec.decode_key("status/x")));
+    }
+
+    void base64_agrees_with_itself_and_known_values()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"bm9kZS0x"}, encode_base64("node-1"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"YQ=="}, encode_base64("a"));
+        CPPUNIT_ASSERT(!decode_base64("YQ=") && !decode_base64("Y===") && !decode_base64("!!!!"));
+        const bool holds = rc::check([](const std::string& bytes)
+                                     { RC_ASSERT(decode_base64(encode_base64(bytes)) == bytes); });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void store_calls_are_made_and_read_as_documented()
+    {
+        boost::asio::io_context io;
+        std::vector<std::string> heads;
+        testing::scripted_server server(
+            io,
+            [&](const std::string& head)
+            {
+                heads.push_back(head.substr(0, head.find(" HTTP")));
+                const bool is_range = head.find("kv-range") != std::string::npos;
+                return json_answer(
+                    200, is_range ? R"({"items":[{"key":"k","value":"YQ==","revision":4,)"
+                                    R"("created":4,"lease":0}],"truncated":true,"as-of":9})"
+                                  : R"({"events":[{"key":"k","revision":10,"tombstone":true}],)"
+                                    R"("as-of":11})");
+            });
+        platform::kv_store store(io, {.store = server.address()});
+        range_page page;
+        change_list list;
+        store.range("", "j/1", true, [&](range_page got) { page = std::move(got); });
+        CPPUNIT_ASSERT(testing::run_until(io, [&] { return page.as_of.value() == 9; }));
+        CPPUNIT_ASSERT(page.is_truncated && page.items[0].value == "a");
+        store.watch("", store_revision{9}, std::chrono::milliseconds{1'000},
+                    [&](change_list got) { list = std::move(got); });
+        CPPUNIT_ASSERT(testing::run_until(io, [&] { return list.as_of.value() == 11; }));
+        CPPUNIT_ASSERT(!list.changes[0].value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections());
+        CPPUNIT_ASSERT(heads[0].find("after=j") != std::string::npos);
+        CPPUNIT_ASSERT(heads[0].find("stale-ok=1") != std::string::npos);
+        CPPUNIT_ASSERT(heads[1].find("after=9") != std::string::npos);
+        CPPUNIT_ASSERT(heads[1].find("wait-ms=1000") != std::string::npos);
+    }
+
+    void store_failures_are_told_apart()
+    {
+        for (const auto& [status, body, expected] :
+             {std::tuple{410, "{}", store_outcome::history_lost},
+              std::tuple{503, "{}", store_outcome::unavailable},
+              std::tuple{429, "{}", store_outcome::unavailable},
+              std::tuple{200, "not json", store_outcome::unavailable},
+              std::tuple{200, R"({"events":[{"key":1}],"as-of":1})", store_outcome::unavailable},
+              std::tuple{200, R"({"events":[]})", store_outcome::unavailable}})
+        {
+            boost::asio::io_context io;
+            testing::scripted_server server(io, [status = status, body = body](const std::string&)
+                                            { return json_answer(status, body); });
+            platform::kv_store store(io, {.store = server.address()});
+            std::optional<store_outcome> outcome;
+            store.watch("", store_revision{1}, std::chrono::milliseconds{10},
+                        [&](const change_list& got) { outcome = got.outcome; });
+            CPPUNIT_ASSERT(testing::run_until(io, [&] { return outcome.has_value(); }));
+            CPPUNIT_ASSERT_MESSAGE(body, *outcome == expected);
+        }
+    }
+
+private:
+    // Values that no JSON parser reads count as broken too.
+    static bool try_field(const char* name, const char* value)
+    {
+        boost::json::error_code error;
+        const boost::json::value parsed = boost::json::parse(value, error);
+        return !error && is_usable(with_field(name, value));
+    }
+
+    static testing::scripted_answer json_answer(int status, const std::string& body)
+    {
+        return {"HTTP/1.1 " + std::to_string(status) +
+                " X\r\nContent-Type: application/json\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_test);
+
+} // namespace tanagerspur
