Fault soak on real processes; explain; short waits for connections; a peek that blocked

The daemon uses the same server for its directory and relay. What made the socket look readable is not found; a request whose body comes apart does not (http_server_test). Change: sockets of http_server never block; hosts use half of what replicas accept; a replica that resets new connections is given time; a request waits up to 0.4 objectives for a connection, the most urgent first; attempts that fail have log lines; tanagerspur explain tells a request's story.

--- a/programs/tanagerspur.cpp
+++ b/programs/tanagerspur.cpp
@@ -2,6 +2,7 @@
 
 #include "tanagerspur/common/ini.hpp"
 #include "tanagerspur/host/caller_api.hpp"
+#include "tanagerspur/operations/explain.hpp"
 #include "tanagerspur/operations/fleet_client.hpp"
 
 #include <boost/json/parse.hpp>
@@ -54,6 +55,8 @@
   query        send one query (--service, --key, --body, --deadline_ms, --idempotent)
   dump         print the state of one host (--host)
   drain        let one host leave (--host)
+  explain ID [LOG...]
+               the story of a request from hosts' logs; without files from standard input
   help         this text; "tanagerspur COMMAND --help" shows the flags
 
 Exit codes:
@@ -310,8 +313,33 @@
     return outcome.reply.status < 300 ? exit_ok : exit_failed;
 }
 
-int run(const std::string& command, const std::string& file)
+int explain(const std::vector<std::string>& arguments)
 {
+    if (arguments.empty())
+        return fail(exit_bad_input, "explain: expected the id of a request");
+    std::vector<log_line> lines;
+    for (std::size_t i = 1; i < arguments.size(); ++i)
+    {
+        std::ifstream file(arguments[i]);
+        if (!file)
+            return fail(exit_bad_input, arguments[i] + ": expected a log that can be read");
+        read_log(arguments[i], file, lines);
+    }
+    if (arguments.size() == 1)
+        read_log("-", std::cin, lines);
+    const std::vector<std::string> story = explain_request(arguments[0], std::move(lines));
+    if (story.empty())
+        return fail(exit_failed, "no line names the request " + arguments[0]);
+    for (const std::string& each : story)
+        std::cout << each << "\n";
+    return exit_ok;
+}
+
+int run(const std::string& command, const std::vector<std::string>& arguments)
+{
+    const std::string file = arguments.empty() ? "" : arguments[0];
+    if (command == "explain")
+        return explain(arguments);
     const bool needs_file = command == "check" || command == "apply";
     if (needs_file && file.empty())
         return fail(exit_bad_input, command + ": expected the path of a manifest");
@@ -347,5 +375,5 @@
         return exit_ok;
     }
     gflags::HandleCommandLineHelpFlags();
-    return run(command, argc > 2 ? argv[2] : "");
+    return run(command, {argv + std::min(argc, 2), argv + argc});
 }
--- /dev/null
+++ b/soak/soak_replicas.cpp
@@ -0,0 +1,147 @@
+#include "soak/soak_replicas.hpp"
+
+#include "platform/dialect.hpp"
+#include "tanagerspur/common/text.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <iostream>
+
+namespace tanagerspur::soak
+{
+
+namespace
+{
+
+constexpr std::uint32_t slots = 4;
+// Requests that are taken beyond the slots.
+constexpr std::size_t queue = 12;
+constexpr std::size_t records = 4;
+constexpr std::size_t record_bytes = 16;
+// After a replica's leaving was acknowledged, hosts that reach the store send it nothing more.
+constexpr duration drain_bound = std::chrono::seconds{3};
+
+const wire_dialect& dialect()
+{
+    static const wire_dialect names = platform::make_dialect();
+    return names;
+}
+
+} // namespace
+
+std::string records_of(const std::string& service, const std::string& request)
+{
+    std::mt19937_64 random{std::hash<std::string>{}(service + "/" + request)};
+    std::string made;
+    for (std::size_t i = 0; i < records * record_bytes; ++i)
+        made += static_cast<char>(random() % 256);
+    return made;
+}
+
+soak_replica::soak_replica(boost::asio::io_context& io, std::string id, std::string service,
+                           std::string zone, endpoint listen, endpoint proxy, run_log& log,
+                           std::uint64_t seed)
+    : m_io(io)
+    , m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_zone(std::move(zone))
+    , m_address(proxy)
+    , m_log(log)
+    , m_server(io, {.listen = listen}, *this)
+    , m_link(io, proxy, listen)
+    , m_random(seed)
+    , m_started_ms(seed)
+{
+    const std::string error = m_server.start();
+    if (!error.empty())
+        throw std::runtime_error("replica " + m_id + ": " + error);
+}
+
+void soak_replica::write_entry(stand_ins::memory_store& store, const char* state)
+{
+    store.set(platform::replica_prefix + m_id,
+              boost::json::serialize(boost::json::object{{"service", m_service},
+                                                         {"address", to_string(m_address)},
+                                                         {"zone", m_zone},
+                                                         {"version", "v1"},
+                                                         {"slots", slots},
+                                                         {"state", state},
+                                                         {"warmup-left-ms", 0},
+                                                         {"seq", 1},
+                                                         {"born", m_started_ms}}));
+}
+
+void soak_replica::register_in(stand_ins::memory_store& store)
+{
+    m_leaving_since = never;
+    ++m_started_ms;
+    write_entry(store, "ready");
+}
+
+void soak_replica::drain_in(stand_ins::memory_store& store)
+{
+    m_leaving_since = std::min(m_leaving_since, boot_now());
+    write_entry(store, "draining");
+}
+
+void soak_replica::remove_from(stand_ins::memory_store& store)
+{
+    m_leaving_since = std::min(m_leaving_since, boot_now());
+    store.erase(platform::replica_prefix + m_id);
+}
+
+http_reply soak_replica::refusal(int status) const
+{
+    http_reply reply{.status = status};
+    reply.fields[dialect().not_run] = "1";
+    return reply;
+}
+
+void soak_replica::handle(http_call call, std::uint64_t token, http_responder respond)
+{
+    if (call.field(lower_case(dialect().expected_replica)) != m_id)
+        return respond({.status = 421});
+    if (chance() < m_faults.refused || m_running >= slots + queue)
+        return respond(refusal(503));
+    run(call, token, respond);
+}
+
+void soak_replica::run(const http_call& call, std::uint64_t token, const http_responder& respond)
+{
+    const std::string request = call.field(lower_case(dialect().request_id));
+    run_record record{.replica = m_id,
+                      .service = m_service,
+                      .signature = m_id + "." + std::to_string(++m_runs) + "." + request,
+                      .body = records_of(m_service, request),
+                      .status = chance() < m_faults.errors ? 500 : 200,
+                      .begun = boot_now()};
+    if (m_leaving_since != never && record.begun - m_leaving_since > drain_bound && m_log.is_calm())
+        m_log.late_runs.push_back(m_id + " ran " + request);
+    m_log.runs[request].push_back(record);
+    if (chance() < m_faults.hangs)
+        return;
+    ++m_running;
+    const double ms = std::lognormal_distribution<>{1.8, 0.35}(m_random)*m_faults.slowness;
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        m_io, std::chrono::microseconds{static_cast<std::int64_t>(ms * 1'000)});
+    timer->async_wait([this, timer, token, record, request, respond](boost::system::error_code)
+                      { finish(token, record, request, respond); });
+}
+
+void soak_replica::finish(std::uint64_t token, const run_record& record, const std::string& request,
+                          const http_responder& respond)
+{
+    --m_running;
+    if (m_abandoned.erase(token) > 0)
+        return;
+    http_reply reply{.status = record.status, .body = record.body};
+    reply.fields[dialect().request_id] = request;
+    reply.fields[dialect().signature] = record.signature;
+    reply.fields[dialect().load] = std::to_string(m_running) + ",0," + std::to_string(slots);
+    respond(std::move(reply));
+}
+
+} // namespace tanagerspur::soak
--- a/tanagerspur/testing/fake_shared_store.cpp
+++ b/stand_ins/memory_store.cpp
@@ -1,18 +1,18 @@
-#include "tanagerspur/testing/fake_shared_store.hpp"
+#include "stand_ins/memory_store.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace tanagerspur::testing
+namespace tanagerspur::stand_ins
 {
 
-template<class Handler, class Value> void fake_shared_store::post(Handler handler, Value value)
+template<class Handler, class Value> void memory_store::post(Handler handler, Value value)
 {
     boost::asio::post(m_io, [handler = std::move(handler), value = std::move(value)]() mutable
                       { handler(std::move(value)); });
 }
 
-void fake_shared_store::record(store_change change)
+void memory_store::record(store_change change)
 {
     m_revision = store_revision{m_revision.value() + 1};
     change.revision = m_revision;
@@ -24,17 +24,17 @@
     answer_watches();
 }
 
-void fake_shared_store::set(const std::string& key, const std::string& value)
+void memory_store::set(const std::string& key, const std::string& value)
 {
     record({.key = key, .value = value});
 }
 
-void fake_shared_store::erase(const std::string& key)
+void memory_store::erase(const std::string& key)
 {
     record({.key = key});
 }
 
-void fake_shared_store::compact()
+void memory_store::compact()
 {
     m_history.clear();
     m_history_begin = m_revision;
@@ -43,7 +43,7 @@
     m_watches.clear();
 }
 
-void fake_shared_store::set_away(bool is_away)
+void memory_store::set_away(bool is_away)
 {
     m_is_away = is_away;
     if (!is_away)
@@ -53,18 +53,38 @@
     m_watches.clear();
 }
 
-void fake_shared_store::end_all_leases()
+void memory_store::end_all_leases()
 {
     const auto leases = std::move(m_leases);
     m_leases.clear();
-    for (const auto& [lease, keys] : leases)
-        for (const std::string& key : keys)
-            if (m_items.contains(key))
-                erase(key);
+    for (const auto& [id, lease] : leases)
+        drop(lease);
 }
 
-void fake_shared_store::range(const std::string& prefix, const std::string& after_key,
-                              bool may_be_stale, page_handler handler)
+void memory_store::drop(const lease_state& lease)
+{
+    for (const std::string& key : lease.keys)
+        if (m_items.contains(key))
+            erase(key);
+}
+
+void memory_store::expire_leases(time_point now)
+{
+    std::vector<lease_state> ended;
+    std::erase_if(m_leases,
+                  [&](const auto& each)
+                  {
+                      if (now < each.second.end)
+                          return false;
+                      ended.push_back(each.second);
+                      return true;
+                  });
+    for (const lease_state& each : ended)
+        drop(each);
+}
+
+void memory_store::range(const std::string& prefix, const std::string& after_key, bool may_be_stale,
+                         page_handler handler)
 {
     ++m_calls.ranges;
     range_page page;
@@ -87,7 +107,7 @@
     post(std::move(handler), std::move(page));
 }
 
-change_list fake_shared_store::changes_after(store_revision after) const
+change_list memory_store::changes_after(store_revision after) const
 {
     if (after < m_history_begin)
         return {.outcome = store_outcome::history_lost};
@@ -98,8 +118,8 @@
     return list;
 }
 
-void fake_shared_store::watch(const std::string& /*prefix*/, store_revision after, duration wait,
-                              change_handler handler)
+void memory_store::watch(const std::string& /*prefix*/, store_revision after, duration wait,
+                         change_handler handler)
 {
     ++m_calls.watches;
     if (m_is_away)
@@ -115,7 +135,7 @@
     timer->async_wait([this, timer](boost::system::error_code) { answer_watches(); });
 }
 
-void fake_shared_store::answer_watches()
+void memory_store::answer_watches()
 {
     const time_point now = boot_now();
     m_watches.remove_if(
@@ -129,44 +149,52 @@
         });
 }
 
-void fake_shared_store::open_lease(duration /*length*/, lease_handler handler)
+void memory_store::open_lease(duration length, lease_handler handler)
 {
     ++m_calls.writes;
     if (m_is_away)
         return post(std::move(handler), lease_grant{});
     const lease_id made{m_next_lease++};
-    m_leases[made];
+    m_leases[made] = {.length = length, .end = boot_now() + length};
     post(std::move(handler), lease_grant{.outcome = store_outcome::ok, .lease = made});
 }
 
-void fake_shared_store::renew_lease(lease_id lease, done_handler handler)
+void memory_store::renew_lease(lease_id lease, done_handler handler)
 {
     ++m_calls.renewals;
-    const store_outcome known =
-        m_leases.contains(lease) ? store_outcome::ok : store_outcome::no_lease;
-    post(std::move(handler), m_is_away ? store_outcome::unavailable : known);
+    const auto found = m_leases.find(lease);
+    if (m_is_away)
+        return post(std::move(handler), store_outcome::unavailable);
+    if (found == m_leases.end())
+        return post(std::move(handler), store_outcome::no_lease);
+    found->second.end = boot_now() + found->second.length;
+    post(std::move(handler), store_outcome::ok);
 }
 
-void fake_shared_store::end_lease(lease_id lease, done_handler handler)
+void memory_store::end_lease(lease_id lease, done_handler handler)
 {
     ++m_calls.writes;
-    for (const std::string& key : m_leases[lease])
-        erase(key);
-    m_leases.erase(lease);
+    const auto found = m_leases.find(lease);
+    if (found != m_leases.end())
+    {
+        const lease_state ended = found->second;
+        m_leases.erase(found);
+        drop(ended);
+    }
     post(std::move(handler), store_outcome::ok);
 }
 
-void fake_shared_store::put(const std::string& key, const std::string& value, lease_id lease,
-                            done_handler handler)
+void memory_store::put(const std::string& key, const std::string& value, lease_id lease,
+                       done_handler handler)
 {
     ++m_calls.writes;
     if (m_is_away)
         return post(std::move(handler), store_outcome::unavailable);
     if (!m_leases.contains(lease))
         return post(std::move(handler), store_outcome::no_lease);
-    m_leases[lease].push_back(key);
+    m_leases[lease].keys.push_back(key);
     set(key, value);
     post(std::move(handler), store_outcome::ok);
 }
 
-} // namespace tanagerspur::testing
+} // namespace tanagerspur::stand_ins
--- a/tanagerspur/testing/fake_shared_store.hpp
+++ b/stand_ins/memory_store.hpp
@@ -1,8 +1,8 @@
-// A store in memory for tests: linearizable, with history, leases, and faults that are switched.
-// Answers arrive in later turns of the io_context.
+// A store in memory for tests and the stand-in of the platform: linearizable, with history, leases,
+// and faults that are switched. Answers arrive in later turns of the io_context.
 
-#ifndef TANAGERSPUR_TESTING_FAKE_SHARED_STORE_HPP
-#define TANAGERSPUR_TESTING_FAKE_SHARED_STORE_HPP
+#ifndef TANAGERSPUR_STAND_INS_MEMORY_STORE_HPP
+#define TANAGERSPUR_STAND_INS_MEMORY_STORE_HPP
 
 #include "tanagerspur/store/shared_store.hpp"
 
@@ -11,13 +11,13 @@
 #include <list>
 #include <map>
 
-namespace tanagerspur::testing
+namespace tanagerspur::stand_ins
 {
 
-class fake_shared_store final : public shared_store
+class memory_store final : public shared_store
 {
 public:
-    explicit fake_shared_store(boost::asio::io_context& io)
+    explicit memory_store(boost::asio::io_context& io)
         : m_io(io)
     {
     }
@@ -36,6 +36,8 @@
         m_stale_as_of = m_revision;
     }
     void end_all_leases();
+    // Ends the leases that were not renewed in time.
+    void expire_leases(time_point now);
 
     const std::map<std::string, store_change>& items() const { return m_items; }
     std::size_t waiting_watches() const { return m_watches.size(); }
@@ -60,7 +62,15 @@
         change_handler handler;
     };
 
+    struct lease_state
+    {
+        duration length{0};
+        time_point end;
+        std::vector<std::string> keys;
+    };
+
     void record(store_change change);
+    void drop(const lease_state& lease);
     void answer_watches();
     change_list changes_after(store_revision after) const;
     template<class Handler, class Value> void post(Handler handler, Value value);
@@ -72,13 +82,13 @@
     std::vector<store_change> m_history;
     store_revision m_history_begin;
     store_revision m_revision{1};
-    std::map<lease_id, std::vector<std::string>> m_leases;
+    std::map<lease_id, lease_state> m_leases;
     std::uint64_t m_next_lease = 1;
     std::list<waiting_watch> m_watches;
     bool m_is_away = false;
     shared_store_calls m_calls;
 };
 
-} // namespace tanagerspur::testing
+} // namespace tanagerspur::stand_ins
 
 #endif
--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -132,23 +132,66 @@
     for (std::size_t i = 0; i < started.legs.size(); ++i)
     {
         budget_of(started.legs[i].service).count_request(now);
-        if (!send_next(started, i, now))
-            fail_leg(started.legs[i], "no_replica");
+        send_first(started, i, now);
     }
     settle(started, now);
 }
 
-bool forwarder::send_next(exchange& of, std::size_t leg_index, time_point now)
+void forwarder::send_first(exchange& of, std::size_t leg_index, time_point now)
+{
+    leg& which = of.legs[leg_index];
+    const sending done = send_next(of, leg_index, now);
+    if (done == sending::no_replica)
+        return fail_leg(which, "no_replica");
+    if (done == sending::sent)
+        return;
+    ++m_counters.waited_for_room;
+    which.cause = "no_room";
+    which.wait_until =
+        now + duration{static_cast<duration::rep>(
+                  m_options.room_wait * static_cast<double>(of.on->latency_objective.count()))};
+    m_waiting[which.service][{of.on->priority, m_next_waiting++}] = {.exchange = of.id,
+                                                                     .leg = leg_index};
+}
+
+void forwarder::serve_waiting(const service_id& service, time_point now)
+{
+    const auto found = m_waiting.find(service);
+    if (found == m_waiting.end())
+        return;
+    auto& queue = found->second;
+    while (!queue.empty())
+    {
+        const waiting_leg first = queue.begin()->second;
+        const auto owner = m_exchanges.find(first.exchange.value());
+        const bool is_over = owner == m_exchanges.end() ||
+                             owner->second->legs[first.leg].wait_until == never;
+        if (!is_over && send_next(*owner->second, first.leg, now) == sending::no_room)
+            return;
+        queue.erase(queue.begin());
+        if (is_over)
+            continue;
+        leg& which = owner->second->legs[first.leg];
+        which.wait_until = never;
+        if (which.under_way.empty())
+            fail_leg(which, "no_replica");
+        settle(*owner->second, now);
+        return;
+    }
+}
+
+forwarder::sending forwarder::send_next(exchange& of, std::size_t leg_index, time_point now)
 {
     leg& which = of.legs[leg_index];
     const duration usual = usual_latency(*of.on);
     const choice_request wanted{
         .usual = usual, .failure_cost = of.on->latency_objective, .tried = &which.tried};
-    const replica_ref to = m_choice.choose(
+    const choice chosen = m_choice.choose(
         m_registry.of_service(which.service), wanted,
         [this](const replica& at) { return m_environment.has_room(at); }, now);
+    const replica_ref& to = chosen.to;
     if (to == nullptr)
-        return false;
+        return chosen.is_waiting_for_room ? sending::no_room : sending::no_replica;
     const std::uint64_t number = m_next_attempt++;
     m_attempts[number] = {.exchange = of.id,
                           .leg = leg_index,
@@ -169,7 +212,7 @@
                         .request = of.request,
                         .deadline = of.deadline,
                         .is_idempotent = of.on->is_idempotent});
-    return true;
+    return sending::sent;
 }
 
 bool forwarder::send_again(exchange& of, std::size_t leg_index, double reserve, time_point now)
@@ -183,7 +226,7 @@
         ++m_counters.budget_denied;
         return false;
     }
-    if (!send_next(of, leg_index, now))
+    if (send_next(of, leg_index, now) != sending::sent)
         return false;
     budget.spend(now);
     ++of.extra_attempts;
@@ -232,12 +275,31 @@
     m_attempts.erase(found);
     learn(ended, number, outcome, now);
     const auto owner = m_exchanges.find(ended.exchange.value());
-    if (owner == m_exchanges.end())
+    if (owner != m_exchanges.end())
+    {
+        exchange& of = *owner->second;
+        std::erase(of.legs[ended.leg].under_way, number);
+        note(of, ended, outcome, now);
+        leg_attempt_ended(of, ended.leg, outcome, now);
+        settle(of, now);
+    }
+    serve_waiting(ended.to->record.service, now);
+}
+
+void forwarder::note(const exchange& of, const attempt& ended, const attempt_outcome& outcome,
+                     time_point now)
+{
+    const bool is_answer = outcome.result == attempt_result::answered;
+    if (is_answer && outcome.answer.is_success())
         return;
-    exchange& of = *owner->second;
-    std::erase(of.legs[ended.leg].under_way, number);
-    leg_attempt_ended(of, ended.leg, outcome, now);
-    settle(of, now);
+    m_environment.attempt_noted({.request = of.request.get(),
+                                 .to = ended.to.get(),
+                                 .result = to_string(outcome.result),
+                                 .detail = outcome.detail,
+                                 .status = outcome.answer.status,
+                                 .took = now - ended.sent,
+                                 .failure_share = ended.to->estimate.failure_share(now),
+                                 .in_flight = ended.to->estimate.in_flight()});
 }
 
 void forwarder::fail_leg(leg& which, std::string_view cause)
@@ -266,7 +328,7 @@
         // Nothing reached a replica: the attempt does not count, nor cost the budget.
         --which.sends;
         if (++which.connect_failures < max_connect_failures && now < of.deadline &&
-            send_next(of, leg_index, now))
+            send_next(of, leg_index, now) == sending::sent)
             return;
         if (which.under_way.empty())
             fail_leg(which, "no_connection");
@@ -309,9 +371,21 @@
     exchange& of = *found->second;
     if (now < of.deadline)
         hedge_due(of, now);
+    end_waits(of, now);
     settle(of, now);
 }
 
+void forwarder::end_waits(exchange& of, time_point now)
+{
+    for (leg& each : of.legs)
+    {
+        if (each.now != leg::state::pending || now < each.wait_until)
+            continue;
+        each.wait_until = never;
+        fail_leg(each, "no_room");
+    }
+}
+
 void forwarder::settle(exchange& of, time_point now)
 {
     std::size_t done = 0;
@@ -322,7 +396,7 @@
         done += each.now == leg::state::done ? 1 : 0;
         pending += each.now == leg::state::pending ? 1 : 0;
         if (each.now == leg::state::pending)
-            next = std::min(next, each.hedge_at);
+            next = std::min({next, each.hedge_at, each.wait_until});
     }
     const std::size_t needed = needed_parts(of);
     const bool is_hopeless = done + pending < needed;
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -42,6 +42,9 @@
     // Share of this host's slack that hedges leave to failures: a repeat after a failure is
     // needed, a hedge is only likely to be.
     double hedge_reserve = 0.1;
+    // Longest wait for a free connection, as a share of the route's objective. It bridges the burst
+    // of callers that return together; what is still waiting then is refused.
+    double room_wait = 0.4;
     // Time that an attempt may go on after its exchange has been answered.
     duration linger = std::chrono::milliseconds{400};
     // Latency assumed for a route before its first answers, as a share of its objective.
@@ -62,6 +65,7 @@
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t budget_denied = 0;
+    std::uint64_t waited_for_room = 0;
 };
 
 // One attempt to send.
@@ -93,6 +97,20 @@
     std::string missing;
 };
 
+// An attempt that did not bring a good answer, or one that was sent in addition; for logs.
+struct attempt_note
+{
+    const caller_request* request = nullptr;
+    const replica* to = nullptr;
+    std::string_view result;
+    std::string_view detail;
+    int status = 0;
+    duration took{0};
+    // What the choice of the replica was based on: its failures of late and attempts under way.
+    double failure_share = 0;
+    std::size_t in_flight = 0;
+};
+
 class forwarder_environment
 {
 public:
@@ -112,6 +130,7 @@
     // Calls forwarder::wake at the time; replaces the exchange's earlier timer.
     virtual void wake_at(exchange_id exchange, time_point when) = 0;
     virtual void finished(const exchange_summary& summary) = 0;
+    virtual void attempt_noted(const attempt_note& note) = 0;
 };
 
 class forwarder
@@ -166,6 +185,8 @@
         std::vector<std::uint64_t> tried;
         std::vector<std::uint64_t> under_way;
         time_point hedge_at = never;
+        // It waits for a free connection until then; never while it does not wait.
+        time_point wait_until = never;
         bool may_have_run = false;
         std::string_view cause = "pending";
         std::optional<replica_answer> answer;
@@ -198,18 +219,38 @@
     retry_window& budget_of(const service_id& service);
     std::size_t needed_parts(const exchange& of) const;
 
-    // Sends the leg's next attempt; false when no replica can take it.
-    bool send_next(exchange& of, std::size_t leg_index, time_point now);
+    enum class sending
+    {
+        sent,
+        no_room,
+        no_replica
+    };
+    // A leg that waits for a free connection: the most urgent first, then the one that came first.
+    struct waiting_leg
+    {
+        exchange_id exchange;
+        std::size_t leg = 0;
+    };
+    using waiting_key = std::pair<std::uint32_t, std::uint64_t>;
+
+    // Sends the leg's next attempt, if a replica can take it.
+    sending send_next(exchange& of, std::size_t leg_index, time_point now);
+    void send_first(exchange& of, std::size_t leg_index, time_point now);
+    // A connection to a replica of the service has become free.
+    void serve_waiting(const service_id& service, time_point now);
     // Sends another attempt if attempts and budget allow it; the reserve is left in the budget.
     bool send_again(exchange& of, std::size_t leg_index, double reserve, time_point now);
     void learn(const attempt& ended, std::uint64_t number, const attempt_outcome& outcome,
                time_point now);
+    void note(const exchange& of, const attempt& ended, const attempt_outcome& outcome,
+              time_point now);
     void leg_attempt_ended(exchange& of, std::size_t leg_index, const attempt_outcome& outcome,
                            time_point now);
     void fail_leg(leg& which, std::string_view cause);
     // Answers the exchange if nothing more is to be waited for, else sets its timer.
     void settle(exchange& of, time_point now);
     void hedge_due(exchange& of, time_point now);
+    void end_waits(exchange& of, time_point now);
     void conclude(exchange& of, time_point now);
     caller_answer make_answer(exchange& of, time_point now, std::string_view& cause);
     caller_answer make_scatter_answer(const exchange& of) const;
@@ -229,6 +270,8 @@
     slack_share m_slack;
     std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<std::uint64_t, attempt> m_attempts;
+    std::map<service_id, std::map<waiting_key, waiting_leg>> m_waiting;
+    std::uint64_t m_next_waiting = 1;
     std::uint64_t m_next_attempt = 1;
     forwarder_counters m_counters;
 };
--- a/tanagerspur/forwarding/replica_choice.cpp
+++ b/tanagerspur/forwarding/replica_choice.cpp
@@ -25,22 +25,27 @@
     return expected;
 }
 
-replica_ref replica_choice::choose(const std::vector<replica_ref>& replicas,
+choice replica_choice::choose(const std::vector<replica_ref>& replicas,
                                    const choice_request& request, const has_room& room,
                                    time_point now)
 {
-    replica_ref best;
+    choice best;
     double least = 0;
     for (const replica_ref& each : replicas)
     {
         const bool was_tried = std::find(request.tried->begin(), request.tried->end(),
                                          each->number) != request.tried->end();
-        if (was_tried || !each->estimate.is_reachable(now) || !room(*each))
+        if (was_tried || !each->estimate.is_reachable(now))
             continue;
+        if (!room(*each))
+        {
+            best.is_waiting_for_room = true;
+            continue;
+        }
         const double expected = expected_us(*each, request, now);
-        if (best == nullptr || expected < least)
+        if (best.to == nullptr || expected < least)
         {
-            best = each;
+            best.to = each;
             least = expected;
         }
     }
--- a/tanagerspur/forwarding/replica_choice.hpp
+++ b/tanagerspur/forwarding/replica_choice.hpp
@@ -33,6 +33,14 @@
     const std::vector<std::uint64_t>* tried = nullptr;
 };
 
+// The replica to use, or why there is none.
+struct choice
+{
+    replica_ref to;
+    // A replica could take the request, but this host may open no further connection to it.
+    bool is_waiting_for_room = false;
+};
+
 class replica_choice
 {
 public:
@@ -41,8 +49,8 @@
 
     replica_choice(choice_options options, std::uint64_t seed);
 
-    // The best replica that was not tried, or null. Unreachable ones are left out.
-    replica_ref choose(const std::vector<replica_ref>& replicas, const choice_request& request,
+    // The best replica that was not tried. Unreachable ones are left out.
+    choice choose(const std::vector<replica_ref>& replicas, const choice_request& request,
                        const has_room& room, time_point now);
 
 private:
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -12,9 +12,9 @@
 {
 
 constexpr duration tick_interval = std::chrono::milliseconds{50};
-// Share of what a replica accepts that the hosts use together: health checks and hosts that have
-// just joined need the rest.
-constexpr double connection_share = 0.85;
+// Share of what a replica accepts that the hosts use together. The rest is left for connections
+// that the replica still counts though their host has lost power, as all may have at once.
+constexpr double connection_share = 0.5;
 constexpr std::size_t max_connections_per_replica = 6;
 // Share of the deployment's bounds on extra attempts that is used: hosts may disagree for a moment
 // on how many share them, and requests that never arrived here don't count.
@@ -32,6 +32,8 @@
 constexpr duration default_round_trip = std::chrono::milliseconds{6};
 // For wake-ups, processing and writing of an answer.
 constexpr duration processing_margin = std::chrono::milliseconds{3};
+// Of the requests that were answered whole and in time, one in so many has a line.
+constexpr std::uint64_t ordinary_requests_for_a_line = 64;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
@@ -50,6 +52,7 @@
     , m_codec(codec)
     , m_store(io, store)
     , m_log("gateway")
+    , m_attempt_log("attempts")
     , m_registry({}, *this)
     , m_pool(io, m_dialect,
              [this](std::uint64_t attempt, const attempt_outcome& outcome)
@@ -381,6 +384,22 @@
         });
 }
 
+void gateway::attempt_noted(const attempt_note& note)
+{
+    m_attempt_log.write_limited(
+        "attempt_failed",
+        {{"request", note.request->id.value()},
+         {"replica", note.to->record.id.value()},
+         {"service", note.to->record.service.value()},
+         {"result", std::string{note.result}},
+         {"status", std::to_string(note.status)},
+         {"detail", note.detail.empty() ? "-" : std::string{note.detail}},
+         {"ms", std::to_string(note.took.count() / 1000)},
+         {"failure_share", std::to_string(note.failure_share).substr(0, 4)},
+         {"in_flight", number_text(note.in_flight)}},
+        boot_now());
+}
+
 void gateway::forget(exchange_id exchange)
 {
     const auto found = m_sessions.find(exchange.value());
@@ -397,7 +416,8 @@
         forget(summary.id);
     const bool is_whole = summary.cause == "complete";
     (is_whole ? m_success_latency : m_other_latency).record(summary.took);
-    if (is_whole && summary.took <= summary.on->latency_objective && summary.extra_attempts == 0)
+    const bool is_ordinary = is_whole && summary.took <= summary.on->latency_objective;
+    if (is_ordinary && ++m_ordinary_requests % ordinary_requests_for_a_line != 0)
         return;
     m_log.write_limited(
         "request_done",
@@ -511,6 +531,7 @@
     add("attempts_extra_total{why=\"hedge\"}", counts.hedges);
     add("attempts_extra_total{why=\"retry\"}", counts.retries);
     add("attempts_denied_by_budget_total", counts.budget_denied);
+    add("legs_waited_for_room_total", counts.waited_for_room);
     add("requests_under_way", m_forwarder.under_way());
     add("replica_connections", m_pool.open_connections());
     add("replica_connections_opened_total", m_pool.counters().connections_opened);
@@ -535,7 +556,7 @@
     add("timer_lateness_us", static_cast<std::uint64_t>(m_load.lateness().count()));
     add("busy", m_load.is_busy() ? 1 : 0);
     add("store_values_malformed_total", m_malformed);
-    add("log_lines_left_out_total", m_log.left_out());
+    add("log_lines_left_out_total", m_log.left_out() + m_attempt_log.left_out());
     for (const auto& [name, histogram] :
          {std::pair{"complete", &m_success_latency}, std::pair{"other", &m_other_latency}})
         for (const auto& [label, fraction] :
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -80,6 +80,7 @@
     void answer(exchange_id exchange, caller_answer answer) override;
     void wake_at(exchange_id exchange, time_point when) override;
     void finished(const exchange_summary& summary) override;
+    void attempt_noted(const attempt_note& note) override;
 
     void on_request(session_id session, inbound_request request) override;
     void on_caller_left(session_id session) override;
@@ -106,6 +107,10 @@
     const store_codec& m_codec;
     relayed_store m_store;
     event_log m_log;
+    // Apart, so that many failed attempts leave room for the lines of requests.
+    event_log m_attempt_log;
+    // Sampled among the requests that went as they should.
+    std::uint64_t m_ordinary_requests = 0;
     replica_registry m_registry;
     replica_pool m_pool;
     forwarder m_forwarder;
--- a/tanagerspur/net/http_server.cpp
+++ b/tanagerspur/net/http_server.cpp
@@ -116,6 +116,8 @@
 {
     error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    // A peek must never block the thread, even when the socket was only thought to be readable.
+    m_stream.socket().non_blocking(true, ignored);
     if (delay.count() == 0)
     {
         read_header();
@@ -215,6 +217,8 @@
                                          peek_error);
                                      if (seen > 0 && !peek_error)
                                          return;
+                                     if (peek_error == asio::error::would_block)
+                                         return self->watch_for_close();
                                      self->m_handling = false;
                                      if (self->m_server->alive)
                                          self->m_server->handler.abandoned(token);
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -214,6 +214,7 @@
     outcome.answer.signature = std::string{field(m_dialect.signature)};
     outcome.answer.fields = end_to_end_fields(message, {});
     const bool keep = message.keep_alive() && !m_is_spoiled && m_is_written;
+    m_has_answered = true;
     note_keep_alive();
     const bool is_unsigned_success =
         outcome.result == attempt_result::answered && outcome.answer.is_success() &&
--- a/tanagerspur/net/replica_connection.hpp
+++ b/tanagerspur/net/replica_connection.hpp
@@ -62,6 +62,8 @@
     state current() const { return m_state; }
     // When the state was entered.
     time_point since() const { return m_since; }
+    // True once an answer has come on it.
+    bool has_answered() const { return m_has_answered; }
     // Longest idle time that the replica announced, without a margin; never if it told none.
     duration idle_limit() const { return m_idle_limit; }
 
@@ -90,6 +92,7 @@
     std::string m_expected_id;
     // Bytes came that belong to no request: the connection is closed after the present one.
     bool m_is_spoiled = false;
+    bool m_has_answered = false;
     boost::beast::flat_buffer m_buffer;
     std::optional<response_parser> m_parser;
     duration m_idle_limit = duration::max();
--- a/tanagerspur/net/replica_pool.cpp
+++ b/tanagerspur/net/replica_pool.cpp
@@ -129,7 +129,6 @@
 void replica_pool::opened(replica_connection& which)
 {
     owner& of = m_owners.at(&which);
-    of.to->estimate.connected();
     const auto waiting = m_attempts.find(of.attempt);
     if (waiting != m_attempts.end() && waiting->second.on.get() == &which)
         return start(waiting->second.on, of.attempt);
@@ -141,6 +140,12 @@
 {
     owner& of = m_owners.at(&which);
     const std::uint64_t attempt = std::exchange(of.attempt, 0);
+    // A replica resets connections beyond what it accepts, also after the handshake. Opening more
+    // of them at once would keep it at its limit.
+    if (which.has_answered())
+        of.to->estimate.connected();
+    else if (outcome.result == attempt_result::failed)
+        of.to->estimate.connect_failed(boot_now());
     if (which.current() == replica_connection::state::closed)
     {
         if (outcome.result == attempt_result::failed)
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -211,7 +211,11 @@
         m_ending.insert(attempt);
     }
     void abort(std::uint64_t attempt) override { m_aborted.insert(attempt); }
-    bool has_room(const replica&) override { return true; }
+    bool has_room(const replica& at) override
+    {
+        const auto limit = m_room.find(at.record.service);
+        return limit == m_room.end() || at.estimate.in_flight() < limit->second;
+    }
     bool withdraw(std::uint64_t attempt) override
     {
         if (!m_connecting.contains(attempt) || m_sent.at(attempt).is_over)
@@ -237,6 +241,11 @@
         trace.answers.push_back(std::move(answer));
     }
 
+    void attempt_noted(const attempt_note& note) override
+    {
+        RC_ASSERT(note.request != nullptr && !note.result.empty());
+    }
+
     void wake_at(exchange_id exchange, time_point when) override
     {
         m_wakes[exchange.value()] = when;
@@ -258,6 +267,8 @@
     std::map<std::uint64_t, attempt_result> m_results;
     std::map<std::uint64_t, request_trace> m_traces;
     std::map<std::uint64_t, time_point> m_wakes;
+    // Attempts that a replica of a service takes at once; any number by default.
+    std::map<service_id, std::size_t> m_room;
     std::set<std::uint64_t> m_aborted;
     // Attempts whose connections are not open yet.
     std::set<std::uint64_t> m_connecting;
@@ -379,6 +390,7 @@
     CPPUNIT_TEST(request_that_never_left_is_refused_at_its_deadline);
     CPPUNIT_TEST(caller_that_leaves_ends_idempotent_attempts_only);
     CPPUNIT_TEST(hedges_leave_the_last_tokens_to_failures);
+    CPPUNIT_TEST(burst_waits_for_free_connections_by_urgency);
     CPPUNIT_TEST(address_that_belongs_to_another_replica_is_left_alone);
     CPPUNIT_TEST(merge_agrees_with_sorting_everything);
     CPPUNIT_TEST_SUITE_END();
@@ -390,11 +402,16 @@
             []
             {
                 world at;
+                if (*rc::gen::arbitrary<bool>())
+                    for (std::size_t i = 0; i < shard_count; ++i)
+                        at.m_room[shard(i)] = 1;
                 for (const testing::step& each : *testing::make_steps(8))
                     play(at, each);
                 at.advance(std::chrono::seconds{1});
                 for (const auto& [number, trace] : at.m_traces)
                     RC_ASSERT(trace.answers.size() == (trace.has_left ? 0U : 1U));
+                for (const std::uint64_t each : at.open_attempts())
+                    at.end(each, attempt_result::answered);
                 RC_ASSERT(at.m_forwarder.under_way() == 0U);
             });
         CPPUNIT_ASSERT(holds);
@@ -506,6 +523,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, at.m_sent.size());
     }
 
+    // Eight callers return at the same moment to a service that takes three requests at once.
+    void burst_waits_for_free_connections_by_urgency()
+    {
+        world at;
+        at.m_room[shard(0)] = 1;
+        std::vector<std::uint64_t> requests;
+        for (int i = 0; i < 8; ++i)
+            requests.push_back(at.begin(route_kind::at_most_once));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, at.open_attempts().size());
+        for (int turn = 0; turn < 3; ++turn)
+        {
+            at.advance(std::chrono::milliseconds{8});
+            for (const std::uint64_t each : at.open_attempts())
+                at.end(each, attempt_result::answered);
+        }
+        for (const std::uint64_t each : requests)
+            CPPUNIT_ASSERT_EQUAL(200, at.m_traces[each].answers.at(0).status);
+        // What waits too long is refused in time for the caller to go elsewhere.
+        for (int i = 0; i < 4; ++i)
+            requests.push_back(at.begin(route_kind::at_most_once));
+        at.advance(std::chrono::milliseconds{33});
+        CPPUNIT_ASSERT_EQUAL(503, at.m_traces[requests.back()].answers.at(0).status);
+    }
+
     void address_that_belongs_to_another_replica_is_left_alone()
     {
         world at;
--- /dev/null
+++ b/tanagerspur/testing/http_server_test.cpp
@@ -0,0 +1,87 @@
+// The server for the tier's own calls: it never blocks its thread, whatever order the parts of a
+// request arrive in.
+
+#include "tanagerspur/net/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <thread>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Answers nothing, as a relay does that waits for changes.
+class silent_handler final : public http_handler
+{
+public:
+    void handle(http_call, std::uint64_t, http_responder) override { ++m_calls; }
+    int m_calls = 0;
+};
+
+std::uint16_t free_port()
+{
+    asio::io_context io;
+    const tcp::acceptor probe(io, tcp::endpoint{asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint().port();
+}
+
+// Sends a request whose body follows after some turns of the server's loop.
+void send_in_two_parts(int turns_between)
+{
+    asio::io_context io;
+    silent_handler handler;
+    const std::uint16_t port = free_port();
+    http_server server(io, {.listen = {.address = "127.0.0.1", .port = port}}, handler);
+    CPPUNIT_ASSERT_EQUAL(std::string{}, server.start());
+    asio::io_context caller_io;
+    tcp::socket caller(caller_io);
+    caller.connect({asio::ip::address_v4::loopback(), port});
+    caller.set_option(tcp::no_delay(true));
+    asio::write(caller, asio::buffer(std::string{
+                            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"}));
+    for (int i = 0; i < turns_between; ++i)
+        io.run_one_for(std::chrono::milliseconds{20});
+    asio::write(caller, asio::buffer(std::string{"abc"}));
+    io.run_for(std::chrono::milliseconds{60});
+    CPPUNIT_ASSERT_EQUAL(1, handler.m_calls);
+}
+
+} // namespace
+
+class http_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(waiting_call_blocks_nothing_when_its_body_came_apart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void waiting_call_blocks_nothing_when_its_body_came_apart()
+    {
+        for (int turns = 0; turns < 8; ++turns)
+        {
+            std::packaged_task<void()> task([turns] { send_in_two_parts(turns); });
+            auto done = task.get_future();
+            std::thread runner(std::move(task));
+            const bool is_over =
+                done.wait_for(std::chrono::seconds{3}) == std::future_status::ready;
+            if (!is_over)
+                runner.detach();
+            CPPUNIT_ASSERT_MESSAGE("blocked after " + std::to_string(turns) + " turns", is_over);
+            runner.join();
+            done.get();
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
+
+} // namespace tanagerspur
--- a/tanagerspur/testing/mirror_test.cpp
+++ b/tanagerspur/testing/mirror_test.cpp
@@ -7,7 +7,7 @@
 #include "tanagerspur/store/relay_server.hpp"
 #include "tanagerspur/store/relayed_store.hpp"
 #include "tanagerspur/store/store_mirror.hpp"
-#include "tanagerspur/testing/fake_shared_store.hpp"
+#include "stand_ins/memory_store.hpp"
 #include "tanagerspur/testing/scripted_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -21,7 +21,7 @@
 namespace
 {
 
-using testing::fake_shared_store;
+using stand_ins::memory_store;
 using testing::run_until;
 
 using contents = std::map<std::string, std::string>;
@@ -59,7 +59,7 @@
     std::function<void()> m_on_read;
 };
 
-contents contents_of(const fake_shared_store& store)
+contents contents_of(const memory_store& store)
 {
     contents found;
     for (const auto& [key, item] : store.items())
@@ -376,7 +376,7 @@
     }
 
     std::optional<boost::asio::io_context> m_io;
-    std::optional<fake_shared_store> m_store;
+    std::optional<memory_store> m_store;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(mirror_test);
--- a/tanagerspur/testing/replica_pool_test.cpp
+++ b/tanagerspur/testing/replica_pool_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(attempt_ends_at_its_deadline);
     CPPUNIT_TEST(request_that_cannot_be_repeated_avoids_an_old_connection);
     CPPUNIT_TEST(replica_that_left_keeps_no_idle_connection);
+    CPPUNIT_TEST(replica_that_resets_new_connections_is_given_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -242,6 +243,17 @@
         CPPUNIT_ASSERT(run_until(*m_io, [this] { return m_pool->open_connections() == 0; }));
     }
 
+    void replica_that_resets_new_connections_is_given_time()
+    {
+        serve([](const std::string&)
+              { return scripted_answer{"", scripted_answer::then::reset}; });
+        CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
+        CPPUNIT_ASSERT(!m_replica->estimate.is_reachable(boot_now()));
+        CPPUNIT_ASSERT(run(2).result == attempt_result::failed);
+        CPPUNIT_ASSERT(
+            !m_replica->estimate.is_reachable(boot_now() + std::chrono::milliseconds{150}));
+    }
+
 private:
     void serve(scripted_server::script script)
     {
