Timers of a request are set once; parts are moved, not copied

Cause: every answer of a scatter set the request's timer again and copied its part, 36 times a query on the grown deployments. Change: a timer that is due too soon looks again instead; answers are moved; header fields of parts are not kept.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -164,8 +164,8 @@
     {
         const waiting_leg first = queue.begin()->second;
         const auto owner = m_exchanges.find(first.exchange.value());
-        const bool is_over = owner == m_exchanges.end() ||
-                             owner->second->legs[first.leg].wait_until == never;
+        const bool is_over =
+            owner == m_exchanges.end() || owner->second->legs[first.leg].wait_until == never;
         if (!is_over && send_next(*owner->second, first.leg, now) == sending::no_room)
             return;
         queue.erase(queue.begin());
@@ -211,7 +211,8 @@
                         .to = to,
                         .request = of.request,
                         .deadline = of.deadline,
-                        .is_idempotent = of.on->is_idempotent});
+                        .is_idempotent = of.on->is_idempotent,
+                        .wants_fields = !of.on->scatter});
     return sending::sent;
 }
 
@@ -266,7 +267,7 @@
     known->second.hedge.record(took);
 }
 
-void forwarder::attempt_ended(std::uint64_t number, const attempt_outcome& outcome, time_point now)
+void forwarder::attempt_ended(std::uint64_t number, attempt_outcome outcome, time_point now)
 {
     const auto found = m_attempts.find(number);
     if (found == m_attempts.end())
@@ -280,7 +281,7 @@
         exchange& of = *owner->second;
         std::erase(of.legs[ended.leg].under_way, number);
         note(of, ended, outcome, now);
-        leg_attempt_ended(of, ended.leg, outcome, now);
+        leg_attempt_ended(of, ended.leg, std::move(outcome), now);
         settle(of, now);
     }
     serve_waiting(ended.to->record.service, now);
@@ -309,8 +310,8 @@
     which.hedge_at = never;
 }
 
-void forwarder::leg_attempt_ended(exchange& of, std::size_t leg_index,
-                                  const attempt_outcome& outcome, time_point now)
+void forwarder::leg_attempt_ended(exchange& of, std::size_t leg_index, attempt_outcome outcome,
+                                  time_point now)
 {
     leg& which = of.legs[leg_index];
     if (which.now != leg::state::pending)
@@ -318,7 +319,7 @@
     const bool is_answer = outcome.result == attempt_result::answered;
     if (is_answer && (outcome.answer.is_success() || !of.on->is_idempotent))
     {
-        which.answer = outcome.answer;
+        which.answer = std::move(outcome.answer);
         which.now = leg::state::done;
         which.cause = "answered";
         return;
@@ -337,7 +338,7 @@
     if (outcome.result != attempt_result::refused)
         which.may_have_run = true;
     if (is_answer)
-        which.answer = outcome.answer;
+        which.answer = std::move(outcome.answer);
     const bool may_repeat = of.on->is_idempotent || outcome.result == attempt_result::refused;
     if (may_repeat && which.under_way.empty() && now < of.deadline &&
         send_again(of, leg_index, 0, now))
@@ -369,6 +370,7 @@
     if (found == m_exchanges.end())
         return;
     exchange& of = *found->second;
+    of.timer = never;
     if (now < of.deadline)
         hedge_due(of, now);
     end_waits(of, now);
@@ -405,6 +407,10 @@
         return conclude(of, now);
     if (of.on->scatter && now < of.answer_at)
         next = std::min(next, of.answer_at);
+    // A timer that fires too soon only looks again; setting it for every answer would cost more.
+    if (next >= of.timer)
+        return;
+    of.timer = next;
     m_environment.wake_at(of.id, next);
 }
 
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -77,6 +77,8 @@
     time_point deadline;
     // The attempt must not be sent on a connection that may be broken: it can't be repeated.
     bool is_idempotent = true;
+    // The header fields of a success are passed on to the caller; those of a part are not.
+    bool wants_fields = true;
 };
 
 // What a finished exchange was, for logs.
@@ -148,7 +150,7 @@
     // The caller has gone: idempotent attempts are aborted and no answer is given.
     void cancel(exchange_id id, time_point now);
 
-    void attempt_ended(std::uint64_t attempt, const attempt_outcome& outcome, time_point now);
+    void attempt_ended(std::uint64_t attempt, attempt_outcome outcome, time_point now);
 
     void wake(exchange_id id, time_point now);
 
@@ -202,6 +204,8 @@
         // When a partial answer is given, if it has the coverage that the route asks for.
         time_point answer_at;
         std::vector<leg> legs;
+        // When the environment's timer fires; never while it is not set.
+        time_point timer = never;
         std::uint32_t attempts = 0;
         std::uint32_t extra_attempts = 0;
     };
@@ -244,7 +248,7 @@
                time_point now);
     void note(const exchange& of, const attempt& ended, const attempt_outcome& outcome,
               time_point now);
-    void leg_attempt_ended(exchange& of, std::size_t leg_index, const attempt_outcome& outcome,
+    void leg_attempt_ended(exchange& of, std::size_t leg_index, attempt_outcome outcome,
                            time_point now);
     void fail_leg(leg& which, std::string_view cause);
     // Answers the exchange if nothing more is to be waited for, else sets its timer.
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -55,8 +55,8 @@
     , m_attempt_log("attempts")
     , m_registry({}, *this)
     , m_pool(io, m_dialect,
-             [this](std::uint64_t attempt, const attempt_outcome& outcome)
-             { m_forwarder.attempt_ended(attempt, outcome, boot_now()); })
+             [this](std::uint64_t attempt, attempt_outcome outcome)
+             { m_forwarder.attempt_ended(attempt, std::move(outcome), boot_now()); })
     , m_forwarder({.own_zone = m_settings.zone,
                    .seed = std::hash<std::string>{}(m_settings.id.value()),
                    .retries = {.ratio = m_settings.retry_ratio * retry_ratio_share,
@@ -386,18 +386,17 @@
 
 void gateway::attempt_noted(const attempt_note& note)
 {
-    m_attempt_log.write_limited(
-        "attempt_failed",
-        {{"request", note.request->id.value()},
-         {"replica", note.to->record.id.value()},
-         {"service", note.to->record.service.value()},
-         {"result", std::string{note.result}},
-         {"status", std::to_string(note.status)},
-         {"detail", note.detail.empty() ? "-" : std::string{note.detail}},
-         {"ms", std::to_string(note.took.count() / 1000)},
-         {"failure_share", std::to_string(note.failure_share).substr(0, 4)},
-         {"in_flight", number_text(note.in_flight)}},
-        boot_now());
+    m_attempt_log.write_limited("attempt_failed",
+                                {{"request", note.request->id.value()},
+                                 {"replica", note.to->record.id.value()},
+                                 {"service", note.to->record.service.value()},
+                                 {"result", std::string{note.result}},
+                                 {"status", std::to_string(note.status)},
+                                 {"detail", note.detail.empty() ? "-" : std::string{note.detail}},
+                                 {"ms", std::to_string(note.took.count() / 1000)},
+                                 {"failure_share", std::to_string(note.failure_share).substr(0, 4)},
+                                 {"in_flight", number_text(note.in_flight)}},
+                                boot_now());
 }
 
 void gateway::forget(exchange_id exchange)
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -80,10 +80,12 @@
                            });
 }
 
-void replica_connection::send(std::string bytes, std::string expected_id, time_point now)
+void replica_connection::send(std::string bytes, std::string expected_id, bool wants_fields,
+                              time_point now)
 {
     m_out = std::move(bytes);
     m_expected_id = std::move(expected_id);
+    m_wants_fields = wants_fields;
     m_state = state::busy;
     m_since = now;
     m_is_written = false;
@@ -212,7 +214,8 @@
         outcome.result = attempt_result::refused;
     outcome.answer.reason = std::string{message.reason()};
     outcome.answer.signature = std::string{field(m_dialect.signature)};
-    outcome.answer.fields = end_to_end_fields(message, {});
+    if (m_wants_fields || !outcome.answer.is_success())
+        outcome.answer.fields = end_to_end_fields(message, {});
     const bool keep = message.keep_alive() && !m_is_spoiled && m_is_written;
     m_has_answered = true;
     note_keep_alive();
--- a/tanagerspur/net/replica_connection.hpp
+++ b/tanagerspur/net/replica_connection.hpp
@@ -51,7 +51,7 @@
     void open(const endpoint& peer);
 
     // Sends the bytes of a request on an idle connection.
-    void send(std::string bytes, std::string expected_id, time_point now);
+    void send(std::string bytes, std::string expected_id, bool wants_fields, time_point now);
 
     // Closes; a request under way ends with the result, and the observer hears of it later.
     void close(attempt_result result, std::string_view detail);
@@ -90,6 +90,7 @@
     std::string m_out;
     bool m_is_written = true;
     std::string m_expected_id;
+    bool m_wants_fields = true;
     // Bytes came that belong to no request: the connection is closed after the present one.
     bool m_is_spoiled = false;
     bool m_has_answered = false;
--- a/tanagerspur/net/replica_pool.cpp
+++ b/tanagerspur/net/replica_pool.cpp
@@ -104,7 +104,7 @@
     const time_point now = boot_now();
     const attempt_order& order = m_attempts.at(attempt).order;
     m_owners.at(on.get()).attempt = attempt;
-    on->send(encode(order, now), order.request->id.value(), now);
+    on->send(encode(order, now), order.request->id.value(), order.wants_fields, now);
 }
 
 std::string replica_pool::encode(const attempt_order& order, time_point now) const
