--- a/soak/soak_hosts.cpp
+++ b/soak/soak_hosts.cpp
@@ -9,8 +9,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace tanagerspur::soak
 {
 
@@ -31,7 +29,7 @@
 } // namespace
 
 soak_host::soak_host(boost::asio::io_context& io, std::string program, std::string folder,
-                     int number, std::string zone, std::uint16_t first_port, endpoint store)
+                     int number, std::string zone, std::uint16_t first_port, const endpoint& store)
     : m_program(std::move(program))
     , m_folder(std::move(folder))
     , m_name("host-" + std::to_string(number))
--- a/soak/soak_hosts.hpp
+++ b/soak/soak_hosts.hpp
@@ -22,7 +22,7 @@
 public:
     // folder: for the settings and the log of the process.
     soak_host(boost::asio::io_context& io, std::string program, std::string folder, int number,
-              std::string zone, std::uint16_t first_port, endpoint store);
+              std::string zone, std::uint16_t first_port, const endpoint& store);
     ~soak_host();
     soak_host(const soak_host&) = delete;
     soak_host& operator=(const soak_host&) = delete;
--- a/soak/soak_replicas.cpp
+++ b/soak/soak_replicas.cpp
@@ -42,8 +42,8 @@
 }
 
 soak_replica::soak_replica(boost::asio::io_context& io, std::string id, std::string service,
-                           std::string zone, endpoint listen, endpoint proxy, run_log& log,
-                           std::uint64_t seed)
+                           std::string zone, const endpoint& listen, const endpoint& proxy,
+                           run_log& log, std::uint64_t seed)
     : m_io(io)
     , m_id(std::move(id))
     , m_service(std::move(service))
--- a/soak/soak_replicas.hpp
+++ b/soak/soak_replicas.hpp
@@ -55,7 +55,7 @@
 {
 public:
     soak_replica(boost::asio::io_context& io, std::string id, std::string service, std::string zone,
-                 endpoint listen, endpoint proxy, run_log& log, std::uint64_t seed);
+                 const endpoint& listen, const endpoint& proxy, run_log& log, std::uint64_t seed);
 
     // Writes the replica's entry: ready, draining, or none.
     void register_in(stand_ins::memory_store& store);
--- a/stand_ins/loopback_proxy.cpp
+++ b/stand_ins/loopback_proxy.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr std::size_t chunk_bytes = std::size_t{16} * 1024;
 
 tcp::endpoint to_tcp(const endpoint& where)
 {
@@ -124,7 +124,7 @@
 
 } // namespace detail
 
-loopback_proxy::loopback_proxy(asio::io_context& io, endpoint listen, endpoint target)
+loopback_proxy::loopback_proxy(asio::io_context& io, const endpoint& listen, endpoint target)
     : m_io(io)
     , m_acceptor(io, to_tcp(listen))
     , m_target(std::move(target))
--- a/stand_ins/loopback_proxy.hpp
+++ b/stand_ins/loopback_proxy.hpp
@@ -35,7 +35,7 @@
 class loopback_proxy
 {
 public:
-    loopback_proxy(boost::asio::io_context& io, endpoint listen, endpoint target);
+    loopback_proxy(boost::asio::io_context& io, const endpoint& listen, endpoint target);
     ~loopback_proxy();
 
     // Holds for open and new connections.
--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -49,7 +49,7 @@
     return "unknown";
 }
 
-forwarder::forwarder(forwarder_options options, replica_registry& registry,
+forwarder::forwarder(const forwarder_options& options, replica_registry& registry,
                      forwarder_environment& environment)
     : m_options(options)
     , m_registry(registry)
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -138,7 +138,7 @@
 class forwarder
 {
 public:
-    forwarder(forwarder_options options, replica_registry& registry,
+    forwarder(const forwarder_options& options, replica_registry& registry,
               forwarder_environment& environment);
     ~forwarder();
 
--- a/tanagerspur/forwarding/replica_choice.hpp
+++ b/tanagerspur/forwarding/replica_choice.hpp
@@ -51,7 +51,7 @@
 
     // The best replica that was not tried. Unreachable ones are left out.
     choice choose(const std::vector<replica_ref>& replicas, const choice_request& request,
-                       const has_room& room, time_point now);
+                  const has_room& room, time_point now);
 
 private:
     double expected_us(const replica& candidate, const choice_request& request, time_point now);
--- a/tanagerspur/net/ingress_server.cpp
+++ b/tanagerspur/net/ingress_server.cpp
@@ -27,7 +27,7 @@
 namespace
 {
 
-constexpr std::size_t read_bytes = 4 * 1024;
+constexpr std::size_t read_bytes = std::size_t{4} * 1024;
 // Bytes of later requests that are read while one is being answered.
 constexpr std::size_t max_read_ahead = std::size_t{64} * 1024;
 // Pause before accepting again when descriptors have run out.
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -23,7 +23,7 @@
 
 // Largest answer that is kept in memory; larger ones fail the request.
 constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
-constexpr std::size_t read_bytes = 8 * 1024;
+constexpr std::size_t read_bytes = std::size_t{8} * 1024;
 constexpr int status_misdirected = 421;
 
 std::optional<reported_load> parse_load(std::string_view text)
--- a/tanagerspur/net/replica_pool.cpp
+++ b/tanagerspur/net/replica_pool.cpp
@@ -66,7 +66,7 @@
                   { return each->current() != replica_connection::state::idle; });
     if (from.idle.empty())
         return nullptr;
-    const connection_ref last = from.idle.back();
+    connection_ref last = from.idle.back();
     const bool is_trusted = now - last->since() < trusted_idle;
     const bool may_open = from.open < limit_of(order.to->record.service);
     if (!order.is_idempotent && !is_trusted && may_open)
--- a/tanagerspur/operations/explain.cpp
+++ b/tanagerspur/operations/explain.cpp
@@ -45,7 +45,7 @@
         return error || !parsed.is_string() ? quoted : std::string{parsed.as_string()};
     }
     const std::size_t end = std::min(text.find(' ', at), text.size());
-    const std::string plain = text.substr(at, end - at);
+    std::string plain = text.substr(at, end - at);
     at = end;
     return plain;
 }
--- a/tanagerspur/store/relayed_store.cpp
+++ b/tanagerspur/store/relayed_store.cpp
@@ -77,19 +77,19 @@
     ++m_counters.watches;
     const auto known = m_connections.find(reader.id);
     if (known != m_connections.end() && known->second->is_open())
-        return ask(known->second, reader.id, std::move(watch));
+        return ask(known->second, reader.id, watch);
     const connection_ref made = http_connection::make(m_io, reader.peers, max_answer_bytes);
     m_connections[reader.id] = made;
     made->open(m_options.call_timeout,
                [this, made, id = reader.id, watch = std::move(watch)](bool is_open) mutable
                {
                    if (is_open)
-                       return ask(made, id, std::move(watch));
+                       return ask(made, id, watch);
                    reader_failed(id, std::move(watch));
                });
 }
 
-void relayed_store::ask(const connection_ref& on, const host_id& reader, pending_watch watch)
+void relayed_store::ask(const connection_ref& on, const host_id& reader, const pending_watch& watch)
 {
     on->send(make_relay_call(watch.after, watch.wait), watch.wait + m_options.call_timeout,
              [this, reader, watch](const call_outcome& outcome)
--- a/tanagerspur/store/relayed_store.hpp
+++ b/tanagerspur/store/relayed_store.hpp
@@ -70,7 +70,7 @@
 
     const reader_candidate* next_reader(time_point now) const;
     void follow(const reader_candidate& reader, pending_watch watch);
-    void ask(const connection_ref& on, const host_id& reader, pending_watch watch);
+    void ask(const connection_ref& on, const host_id& reader, const pending_watch& watch);
     void reader_failed(const host_id& reader, pending_watch watch);
     void run(pending_watch watch);
     void fall_back(pending_watch watch);
--- a/tanagerspur/store/store_mirror.cpp
+++ b/tanagerspur/store/store_mirror.cpp
@@ -51,9 +51,8 @@
         lost();
         return retry([this] { read_all(m_may_be_stale); });
     }
-    m_loading_as_of = std::exchange(m_is_first_page, false)
-                          ? page.as_of
-                          : std::min(m_loading_as_of, page.as_of);
+    m_loading_as_of =
+        std::exchange(m_is_first_page, false) ? page.as_of : std::min(m_loading_as_of, page.as_of);
     for (store_change& each : page.items)
         m_loading.push_back(std::move(each));
     if (page.is_truncated && !m_loading.empty())
@@ -76,7 +75,7 @@
 void store_mirror::catch_up()
 {
     m_store.watch("", m_loading_as_of, probe_wait,
-                  [this](change_list list)
+                  [this](const change_list& list)
                   {
                       if (list.outcome == store_outcome::history_lost)
                           return read_all(false);
@@ -87,17 +86,16 @@
                       }
                       regained();
                       take_over_snapshot();
-                      on_changes(std::move(list));
+                      on_changes(list);
                   });
 }
 
 void store_mirror::watch(duration wait)
 {
-    m_store.watch("", m_log.as_of(), wait,
-                  [this](change_list list) { on_changes(std::move(list)); });
+    m_store.watch("", m_log.as_of(), wait, [this](const change_list& list) { on_changes(list); });
 }
 
-void store_mirror::on_changes(change_list list)
+void store_mirror::on_changes(const change_list& list)
 {
     if (list.outcome == store_outcome::history_lost)
         return read_all(false);
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -66,7 +66,7 @@
     void catch_up();
     void on_page(range_page page);
     void watch(duration wait);
-    void on_changes(change_list list);
+    void on_changes(const change_list& list);
     void lost();
     void regained();
     void retry(std::function<void()> call);
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -420,10 +420,7 @@
     void shard_without_replicas_is_left_out_if_coverage_allows()
     {
         world at;
-        for (std::size_t j = 0; j < replicas_of_shard; ++j)
-            at.m_registry.remove(world::record_of(0, j, 1).id, at.m_now);
-        at.m_now += std::chrono::seconds{3};
-        at.m_registry.tick(at.m_now);
+        lose_first_shard(at);
         const std::uint64_t request = at.begin(route_kind::scatter);
         for (const std::uint64_t each : at.open_attempts())
             at.end(each, attempt_result::answered);
@@ -435,10 +432,7 @@
     void request_without_replicas_is_refused_at_once()
     {
         world at;
-        for (std::size_t j = 0; j < replicas_of_shard; ++j)
-            at.m_registry.remove(world::record_of(0, j, 1).id, at.m_now);
-        at.m_now += std::chrono::seconds{3};
-        at.m_registry.tick(at.m_now);
+        lose_first_shard(at);
         const std::uint64_t request = at.begin(route_kind::at_most_once);
         const caller_answer& answer = at.m_traces[request].answers.at(0);
         CPPUNIT_ASSERT_EQUAL(503, answer.status);
@@ -529,6 +523,7 @@
         world at;
         at.m_room[shard(0)] = 1;
         std::vector<std::uint64_t> requests;
+        requests.reserve(12);
         for (int i = 0; i < 8; ++i)
             requests.push_back(at.begin(route_kind::at_most_once));
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, at.open_attempts().size());
@@ -596,6 +591,15 @@
     }
 
 private:
+    // All replicas of the first shard go, also the last one, which is kept for a while.
+    static void lose_first_shard(world& at)
+    {
+        for (std::size_t j = 0; j < replicas_of_shard; ++j)
+            at.m_registry.remove(world::record_of(0, j, 1).id, at.m_now);
+        at.m_now += std::chrono::seconds{3};
+        at.m_registry.tick(at.m_now);
+    }
+
     // Enough ordinary answers to know the route's latency and to earn extra attempts.
     static void warm_up(world& at)
     {
--- a/tanagerspur/testing/mirror_test.cpp
+++ b/tanagerspur/testing/mirror_test.cpp
@@ -1,13 +1,13 @@
 // The mirror of the store, the relay between hosts and a host's own entry, through outages, lost
 // history, stale reads and lost readers.
 
+#include "stand_ins/memory_store.hpp"
 #include "tanagerspur/net/http_server.hpp"
 #include "tanagerspur/store/host_registration.hpp"
 #include "tanagerspur/store/reader_choice.hpp"
 #include "tanagerspur/store/relay_server.hpp"
 #include "tanagerspur/store/relayed_store.hpp"
 #include "tanagerspur/store/store_mirror.hpp"
-#include "stand_ins/memory_store.hpp"
 #include "tanagerspur/testing/scripted_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tanagerspur/testing/replica_pool_test.cpp
+++ b/tanagerspur/testing/replica_pool_test.cpp
@@ -67,16 +67,18 @@
     void request_goes_out_unchanged_and_names_the_replica()
     {
         std::string seen;
-        serve([&](const std::string& head)
-              {
-                  seen = head;
-                  return scripted_answer{reply("1", "x")};
-              });
+        serve(
+            [&](const std::string& head)
+            {
+                seen = head;
+                return scripted_answer{reply("1", "x")};
+            });
         const attempt_outcome& outcome = run(1);
         CPPUNIT_ASSERT(outcome.result == attempt_result::answered);
         CPPUNIT_ASSERT_EQUAL(std::string{"x"}, outcome.answer.body);
         CPPUNIT_ASSERT_EQUAL(std::string{"s-1"}, outcome.answer.signature);
-        CPPUNIT_ASSERT(seen.starts_with("GET /a/b?c=%20d HTTP/1.1\r\nHost: desk\r\nOdd-CASE: v\r\n"));
+        CPPUNIT_ASSERT(
+            seen.starts_with("GET /a/b?c=%20d HTTP/1.1\r\nHost: desk\r\nOdd-CASE: v\r\n"));
         CPPUNIT_ASSERT_EQUAL(std::string{"replica-1"}, field_of(seen, "Expected-Replica"));
         const int left = std::stoi(field_of(seen, "Deadline-Ms"));
         CPPUNIT_ASSERT(left > 0 && left <= 1'000);
@@ -93,11 +95,12 @@
 
     void late_answer_to_an_earlier_request_is_passed_over()
     {
-        serve([](const std::string& head)
-              {
-                  const std::string id = field_of(head, "Request-Id");
-                  return scripted_answer{reply("earlier", "foreign") + reply(id, "own")};
-              });
+        serve(
+            [](const std::string& head)
+            {
+                const std::string id = field_of(head, "Request-Id");
+                return scripted_answer{reply("earlier", "foreign") + reply(id, "own")};
+            });
         const attempt_outcome& outcome = run(1);
         CPPUNIT_ASSERT(outcome.result == attempt_result::answered);
         CPPUNIT_ASSERT_EQUAL(std::string{"own"}, outcome.answer.body);
@@ -108,11 +111,12 @@
 
     void bytes_after_an_answer_end_the_connection()
     {
-        serve([](const std::string& head)
-              {
-                  const std::string id = field_of(head, "Request-Id");
-                  return scripted_answer{reply(id, "own") + reply(id, "twice")};
-              });
+        serve(
+            [](const std::string& head)
+            {
+                const std::string id = field_of(head, "Request-Id");
+                return scripted_answer{reply(id, "own") + reply(id, "twice")};
+            });
         CPPUNIT_ASSERT_EQUAL(std::string{"own"}, run(1).answer.body);
         CPPUNIT_ASSERT_EQUAL(std::string{"own"}, run(2).answer.body);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connections());
@@ -123,11 +127,12 @@
         for (const auto after : {scripted_answer::then::close, scripted_answer::then::reset})
         {
             setUp();
-            serve([after](const std::string&)
-                  {
-                      const std::string whole = reply("1", "complete body");
-                      return scripted_answer{whole.substr(0, whole.size() - 3), after};
-                  });
+            serve(
+                [after](const std::string&)
+                {
+                    const std::string whole = reply("1", "complete body");
+                    return scripted_answer{whole.substr(0, whole.size() - 3), after};
+                });
             CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
             tearDown();
         }
@@ -138,35 +143,40 @@
     {
         const std::string unframed =
             "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: s\r\n\r\nall of it";
-        serve([&](const std::string&)
-              { return scripted_answer{unframed, scripted_answer::then::close}; });
+        serve(
+            [&](const std::string&) {
+                return scripted_answer{unframed, scripted_answer::then::close};
+            });
         const attempt_outcome& whole = run(1);
         CPPUNIT_ASSERT(whole.result == attempt_result::answered);
         CPPUNIT_ASSERT_EQUAL(std::string{"all of it"}, whole.answer.body);
         tearDown();
         setUp();
-        serve([&](const std::string&)
-              { return scripted_answer{unframed, scripted_answer::then::reset}; });
+        serve(
+            [&](const std::string&) {
+                return scripted_answer{unframed, scripted_answer::then::reset};
+            });
         CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
     }
 
     void success_without_signature_is_no_answer()
     {
-        serve([](const std::string&)
-              {
-                  return scripted_answer{
-                      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 1\r\n\r\nx"};
-              });
+        serve(
+            [](const std::string&) {
+                return scripted_answer{
+                    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 1\r\n\r\nx"};
+            });
         CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
     }
 
     void refusal_is_told_as_such()
     {
-        serve([](const std::string&)
-              {
-                  return scripted_answer{"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nLoad: 2,12,2\r\n"
-                                         "Content-Length: 0\r\n\r\n"};
-              });
+        serve(
+            [](const std::string&)
+            {
+                return scripted_answer{"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nLoad: 2,12,2\r\n"
+                                       "Content-Length: 0\r\n\r\n"};
+            });
         const attempt_outcome& outcome = run(1);
         CPPUNIT_ASSERT(outcome.result == attempt_result::refused);
         CPPUNIT_ASSERT_EQUAL(12U, outcome.load->waiting);
@@ -174,11 +184,11 @@
 
     void misdirected_request_did_not_run()
     {
-        serve([](const std::string&)
-              {
-                  return scripted_answer{
-                      "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"};
-              });
+        serve(
+            [](const std::string&) {
+                return scripted_answer{
+                    "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"};
+            });
         const attempt_outcome& outcome = run(1);
         CPPUNIT_ASSERT(outcome.result == attempt_result::refused);
         CPPUNIT_ASSERT(outcome.is_misdirected);
@@ -245,8 +255,7 @@
 
     void replica_that_resets_new_connections_is_given_time()
     {
-        serve([](const std::string&)
-              { return scripted_answer{"", scripted_answer::then::reset}; });
+        serve([](const std::string&) { return scripted_answer{"", scripted_answer::then::reset}; });
         CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
         CPPUNIT_ASSERT(!m_replica->estimate.is_reachable(boot_now()));
         CPPUNIT_ASSERT(run(2).result == attempt_result::failed);
