A leg that no longer waits leaves its queue at once

Cause: read as a newcomer: queues kept entries of requests that had ended until an attempt at the service ended, so a service that is gone kept them for good. Change: each waiting leg knows its place in the queue; nothing stays after its request. Test: the property test asserts that nobody waits once all is over.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -150,8 +150,27 @@
     which.wait_until =
         now + duration{static_cast<duration::rep>(
                   m_options.room_wait * static_cast<double>(of.on->latency_objective.count()))};
-    m_waiting[which.service][{of.on->priority, m_next_waiting++}] = {.exchange = of.id,
-                                                                     .leg = leg_index};
+    which.wait_key = {of.on->priority, m_next_waiting++};
+    m_waiting[which.service][which.wait_key] = {.exchange = of.id, .leg = leg_index};
+}
+
+std::size_t forwarder::waiting() const
+{
+    std::size_t legs = 0;
+    for (const auto& [service, queue] : m_waiting)
+        legs += queue.size();
+    return legs;
+}
+
+void forwarder::stop_waiting(leg& which)
+{
+    if (which.wait_until == never)
+        return;
+    which.wait_until = never;
+    const auto found = m_waiting.find(which.service);
+    found->second.erase(which.wait_key);
+    if (found->second.empty())
+        m_waiting.erase(found);
 }
 
 void forwarder::serve_waiting(const service_id& service, time_point now)
@@ -159,25 +178,16 @@
     const auto found = m_waiting.find(service);
     if (found == m_waiting.end())
         return;
-    auto& queue = found->second;
-    while (!queue.empty())
-    {
-        const waiting_leg first = queue.begin()->second;
-        const auto owner = m_exchanges.find(first.exchange.value());
-        const bool is_over =
-            owner == m_exchanges.end() || owner->second->legs[first.leg].wait_until == never;
-        if (!is_over && send_next(*owner->second, first.leg, now) == sending::no_room)
-            return;
-        queue.erase(queue.begin());
-        if (is_over)
-            continue;
-        leg& which = owner->second->legs[first.leg];
-        which.wait_until = never;
-        if (which.under_way.empty())
-            fail_leg(which, "no_replica");
-        settle(*owner->second, now);
+    const waiting_leg first = found->second.begin()->second;
+    exchange& of = *m_exchanges.at(first.exchange.value());
+    const sending done = send_next(of, first.leg, now);
+    if (done == sending::no_room)
         return;
-    }
+    leg& which = of.legs[first.leg];
+    stop_waiting(which);
+    if (done == sending::no_replica)
+        fail_leg(which, "no_replica");
+    settle(of, now);
 }
 
 forwarder::sending forwarder::send_next(exchange& of, std::size_t leg_index, time_point now)
@@ -383,7 +393,7 @@
     {
         if (each.now != leg::state::pending || now < each.wait_until)
             continue;
-        each.wait_until = never;
+        stop_waiting(each);
         fail_leg(each, "no_room");
     }
 }
@@ -536,8 +546,9 @@
                              .attempts = of.attempts,
                              .extra_attempts = of.extra_attempts};
     std::vector<std::uint64_t> left;
-    for (const leg& each : of.legs)
+    for (leg& each : of.legs)
     {
+        stop_waiting(each);
         left.insert(left.end(), each.under_way.begin(), each.under_way.end());
         if (each.now == leg::state::done)
             ++summary.parts;
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -158,6 +158,8 @@
     void set_retry_slack(double slack, time_point now);
 
     std::size_t under_way() const { return m_exchanges.size(); }
+    // Legs that wait for a free connection.
+    std::size_t waiting() const;
     const forwarder_counters& counters() const { return m_counters; }
 
     // Latency that is usual on a route, and the wait before a second attempt.
@@ -165,6 +167,13 @@
     duration hedge_delay(const route& on);
 
 private:
+    // A leg that waits for a free connection: the most urgent first, then the one that came first.
+    using waiting_key = std::pair<std::uint32_t, std::uint64_t>;
+    struct waiting_leg
+    {
+        exchange_id exchange;
+        std::size_t leg = 0;
+    };
     // Latencies of a route's attempts.
     struct route_latency
     {
@@ -189,6 +198,7 @@
         time_point hedge_at = never;
         // It waits for a free connection until then; never while it does not wait.
         time_point wait_until = never;
+        waiting_key wait_key;
         bool may_have_run = false;
         std::string_view cause = "pending";
         std::optional<replica_answer> answer;
@@ -229,17 +239,11 @@
         no_room,
         no_replica
     };
-    // A leg that waits for a free connection: the most urgent first, then the one that came first.
-    struct waiting_leg
-    {
-        exchange_id exchange;
-        std::size_t leg = 0;
-    };
-    using waiting_key = std::pair<std::uint32_t, std::uint64_t>;
-
     // Sends the leg's next attempt, if a replica can take it.
     sending send_next(exchange& of, std::size_t leg_index, time_point now);
+    // Sends the leg's first attempt, lets it wait for a connection, or fails it.
     void send_first(exchange& of, std::size_t leg_index, time_point now);
+    void stop_waiting(leg& which);
     // A connection to a replica of the service has become free.
     void serve_waiting(const service_id& service, time_point now);
     // Sends another attempt if attempts and budget allow it; the reserve is left in the budget.
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -413,6 +413,7 @@
                 for (const std::uint64_t each : at.open_attempts())
                     at.end(each, attempt_result::answered);
                 RC_ASSERT(at.m_forwarder.under_way() == 0U);
+                RC_ASSERT(at.m_forwarder.waiting() == 0U);
             });
         CPPUNIT_ASSERT(holds);
     }
