The soak's replica is a stand-in of the platform and stands with the others

Cause: it speaks the platform's names, which stay in platform/ and the stand-ins. Change: soak/soak_replicas becomes stand_ins/replica_stand_in; nothing else.

--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -192,9 +192,9 @@
     for (const std::string& signature : split_list(field, ','))
     {
         const auto& runs = runs_of(request.id);
-        const auto run =
-            std::find_if(runs.begin(), runs.end(),
-                         [&](const run_record& each) { return each.signature == signature; });
+        const auto run = std::find_if(runs.begin(), runs.end(),
+                                      [&](const stand_ins::run_record& each)
+                                      { return each.signature == signature; });
         if (run == runs.end() || run->status != 200)
         {
             violation(request, "names a part that is none: " + signature);
@@ -219,7 +219,7 @@
 bool soak_caller::check_single(const asked& request, const http_reply& reply)
 {
     const std::string& signature = reply.field(lower_case(dialect().signature));
-    for (const run_record& each : runs_of(request.id))
+    for (const stand_ins::run_record& each : runs_of(request.id))
     {
         if (each.signature != signature)
             continue;
@@ -272,9 +272,9 @@
             m_world.violation("request " + id + " ran after all");
 }
 
-const std::vector<run_record>& soak_caller::runs_of(const std::string& id) const
+const std::vector<stand_ins::run_record>& soak_caller::runs_of(const std::string& id) const
 {
-    static const std::vector<run_record> none;
+    static const std::vector<stand_ins::run_record> none;
     const auto found = m_world.runs().runs.find(id);
     return found == m_world.runs().runs.end() ? none : found->second;
 }
--- a/soak/soak_caller.hpp
+++ b/soak/soak_caller.hpp
@@ -57,7 +57,7 @@
     void check_lost(const asked& request);
     void complain(const asked& request, const http_reply& reply);
     void check_runs_once(const std::string& id);
-    const std::vector<run_record>& runs_of(const std::string& id) const;
+    const std::vector<stand_ins::run_record>& runs_of(const std::string& id) const;
     void violation(const asked& request, const std::string& what);
 
     soak_world& m_world;
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -97,7 +97,7 @@
     {
         const endpoint listen{.address = "127.0.0.1", .port = port++};
         const endpoint proxy{.address = "127.0.0.1", .port = port++};
-        m_replicas.push_back(std::make_unique<soak_replica>(
+        m_replicas.push_back(std::make_unique<stand_ins::replica_stand_in>(
             m_io, "i-" + std::to_string(i), services[i], zones()[i % zones().size()], listen, proxy,
             m_log, m_options.seed + i + 1));
         m_replicas.back()->register_in(m_platform->store());
@@ -286,7 +286,7 @@
 
 void soak_world::strike_replica()
 {
-    soak_replica* replica = m_replicas[draw(m_replicas.size())].get();
+    stand_ins::replica_stand_in* replica = m_replicas[draw(m_replicas.size())].get();
     const duration length = draw_ms(300, 4'000);
     switch (draw(8))
     {
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -5,8 +5,8 @@
 #define TANAGERSPUR_SOAK_SOAK_WORLD_HPP
 
 #include "soak/soak_hosts.hpp"
-#include "soak/soak_replicas.hpp"
 #include "stand_ins/kv_stand_in.hpp"
+#include "stand_ins/replica_stand_in.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -67,7 +67,7 @@
     std::vector<std::unique_ptr<soak_host>>& hosts() { return m_hosts; }
     std::mt19937_64& random() { return m_random; }
     soak_report& report() { return m_report; }
-    const run_log& runs() const { return m_log; }
+    const stand_ins::run_log& runs() const { return m_log; }
     void violation(const std::string& what);
     void count_answer(bool is_good, time_point when);
 
@@ -111,9 +111,9 @@
     boost::asio::io_context m_io;
     std::mt19937_64 m_random;
     soak_report m_report;
-    run_log m_log;
+    stand_ins::run_log m_log;
     std::optional<stand_ins::kv_stand_in> m_platform;
-    std::vector<std::unique_ptr<soak_replica>> m_replicas;
+    std::vector<std::unique_ptr<stand_ins::replica_stand_in>> m_replicas;
     std::vector<std::unique_ptr<soak_host>> m_hosts;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     boost::asio::steady_timer m_tick_timer;
--- a/soak/soak_replicas.cpp
+++ b/stand_ins/replica_stand_in.cpp
@@ -1,4 +1,4 @@
-#include "soak/soak_replicas.hpp"
+#include "stand_ins/replica_stand_in.hpp"
 
 #include "platform/dialect.hpp"
 #include "tanagerspur/common/text.hpp"
@@ -10,7 +10,7 @@
 #include <chrono>
 #include <iostream>
 
-namespace tanagerspur::soak
+namespace tanagerspur::stand_ins
 {
 
 namespace
@@ -41,9 +41,9 @@
     return made;
 }
 
-soak_replica::soak_replica(boost::asio::io_context& io, std::string id, std::string service,
-                           std::string zone, const endpoint& listen, const endpoint& proxy,
-                           run_log& log, std::uint64_t seed)
+replica_stand_in::replica_stand_in(boost::asio::io_context& io, std::string id, std::string service,
+                                   std::string zone, const endpoint& listen, const endpoint& proxy,
+                                   run_log& log, std::uint64_t seed)
     : m_io(io)
     , m_id(std::move(id))
     , m_service(std::move(service))
@@ -60,7 +60,7 @@
         throw std::runtime_error("replica " + m_id + ": " + error);
 }
 
-void soak_replica::write_entry(stand_ins::memory_store& store, const char* state)
+void replica_stand_in::write_entry(memory_store& store, const char* state)
 {
     store.set(platform::replica_prefix + m_id,
               boost::json::serialize(boost::json::object{{"service", m_service},
@@ -74,33 +74,33 @@
                                                          {"born", m_started_ms}}));
 }
 
-void soak_replica::register_in(stand_ins::memory_store& store)
+void replica_stand_in::register_in(memory_store& store)
 {
     m_leaving_since = never;
     ++m_started_ms;
     write_entry(store, "ready");
 }
 
-void soak_replica::drain_in(stand_ins::memory_store& store)
+void replica_stand_in::drain_in(memory_store& store)
 {
     m_leaving_since = std::min(m_leaving_since, boot_now());
     write_entry(store, "draining");
 }
 
-void soak_replica::remove_from(stand_ins::memory_store& store)
+void replica_stand_in::remove_from(memory_store& store)
 {
     m_leaving_since = std::min(m_leaving_since, boot_now());
     store.erase(platform::replica_prefix + m_id);
 }
 
-http_reply soak_replica::refusal(int status) const
+http_reply replica_stand_in::refusal(int status) const
 {
     http_reply reply{.status = status};
     reply.fields[dialect().not_run] = "1";
     return reply;
 }
 
-void soak_replica::handle(http_call call, std::uint64_t token, http_responder respond)
+void replica_stand_in::handle(http_call call, std::uint64_t token, http_responder respond)
 {
     if (call.field(lower_case(dialect().expected_replica)) != m_id)
         return respond({.status = 421});
@@ -109,7 +109,8 @@
     run(call, token, respond);
 }
 
-void soak_replica::run(const http_call& call, std::uint64_t token, const http_responder& respond)
+void replica_stand_in::run(const http_call& call, std::uint64_t token,
+                           const http_responder& respond)
 {
     const std::string request = call.field(lower_case(dialect().request_id));
     run_record record{.replica = m_id,
@@ -131,8 +132,8 @@
                       { finish(token, record, request, respond); });
 }
 
-void soak_replica::finish(std::uint64_t token, const run_record& record, const std::string& request,
-                          const http_responder& respond)
+void replica_stand_in::finish(std::uint64_t token, const run_record& record,
+                              const std::string& request, const http_responder& respond)
 {
     --m_running;
     if (m_abandoned.erase(token) > 0)
@@ -144,4 +145,4 @@
     respond(std::move(reply));
 }
 
-} // namespace tanagerspur::soak
+} // namespace tanagerspur::stand_ins
--- a/soak/soak_replicas.hpp
+++ b/stand_ins/replica_stand_in.hpp
@@ -1,8 +1,9 @@
-// Replicas of the soak: they register in the store, run requests with their identity checked, and
-// remember every run, so that what callers are told can be compared with what happened.
+// Replicas of the platform, for the soak: they register in the store, run requests with their
+// identity checked, and remember every run, so that what callers are told can be compared with what
+// happened.
 
-#ifndef TANAGERSPUR_SOAK_SOAK_REPLICAS_HPP
-#define TANAGERSPUR_SOAK_SOAK_REPLICAS_HPP
+#ifndef TANAGERSPUR_STAND_INS_REPLICA_STAND_IN_HPP
+#define TANAGERSPUR_STAND_INS_REPLICA_STAND_IN_HPP
 
 #include "stand_ins/loopback_proxy.hpp"
 #include "stand_ins/memory_store.hpp"
@@ -16,7 +17,7 @@
 #include <string>
 #include <vector>
 
-namespace tanagerspur::soak
+namespace tanagerspur::stand_ins
 {
 
 // One run of a request.
@@ -51,19 +52,20 @@
     double hangs = 0;
 };
 
-class soak_replica final : public http_handler
+class replica_stand_in final : public http_handler
 {
 public:
-    soak_replica(boost::asio::io_context& io, std::string id, std::string service, std::string zone,
-                 const endpoint& listen, const endpoint& proxy, run_log& log, std::uint64_t seed);
+    replica_stand_in(boost::asio::io_context& io, std::string id, std::string service,
+                     std::string zone, const endpoint& listen, const endpoint& proxy, run_log& log,
+                     std::uint64_t seed);
 
     // Writes the replica's entry: ready, draining, or none.
-    void register_in(stand_ins::memory_store& store);
-    void drain_in(stand_ins::memory_store& store);
-    void remove_from(stand_ins::memory_store& store);
+    void register_in(memory_store& store);
+    void drain_in(memory_store& store);
+    void remove_from(memory_store& store);
 
     void set_faults(const replica_faults& faults) { m_faults = faults; }
-    stand_ins::loopback_proxy& link() { return m_link; }
+    loopback_proxy& link() { return m_link; }
     const std::string& id() const { return m_id; }
     const std::string& service() const { return m_service; }
 
@@ -71,7 +73,7 @@
     void abandoned(std::uint64_t token) override { m_abandoned.insert(token); }
 
 private:
-    void write_entry(stand_ins::memory_store& store, const char* state);
+    void write_entry(memory_store& store, const char* state);
     void run(const http_call& call, std::uint64_t token, const http_responder& respond);
     void finish(std::uint64_t token, const run_record& record, const std::string& request,
                 const http_responder& respond);
@@ -85,7 +87,7 @@
     endpoint m_address;
     run_log& m_log;
     http_server m_server;
-    stand_ins::loopback_proxy m_link;
+    loopback_proxy m_link;
     replica_faults m_faults;
     std::mt19937_64 m_random;
     std::uint64_t m_started_ms;
@@ -98,6 +100,6 @@
 // The records that a replica of the service returns for a request: the same from each of them.
 std::string records_of(const std::string& service, const std::string& request);
 
-} // namespace tanagerspur::soak
+} // namespace tanagerspur::stand_ins
 
 #endif
