--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -288,7 +288,7 @@
 {
     stand_ins::replica_stand_in* replica = m_replicas[draw(m_replicas.size())].get();
     const duration length = draw_ms(300, 4'000);
-    switch (draw(8))
+    switch (draw(10))
     {
     case 0:
         replica->drain_in(m_platform->store());
@@ -312,9 +312,12 @@
     case 6:
         replica->set_faults({.refused = 0.5, .errors = 0.2});
         break;
-    default:
+    case 7:
         replica->set_faults({.hangs = 0.3});
         break;
+    default:
+        replica->set_faults({.lost = 0.3});
+        break;
     }
     later(length, [replica] { replica->set_faults({}); });
 }
--- a/stand_ins/replica_stand_in.cpp
+++ b/stand_ins/replica_stand_in.cpp
@@ -138,6 +138,8 @@
     --m_running;
     if (m_abandoned.erase(token) > 0)
         return;
+    if (chance() < m_faults.lost)
+        return m_link.reset_all();
     http_reply reply{.status = record.status, .body = record.body};
     reply.fields[dialect().request_id] = request;
     reply.fields[dialect().signature] = record.signature;
--- a/stand_ins/replica_stand_in.hpp
+++ b/stand_ins/replica_stand_in.hpp
@@ -50,6 +50,8 @@
     double refused = 0;
     double errors = 0;
     double hangs = 0;
+    // Share of requests that run, and whose connections are reset in place of an answer.
+    double lost = 0;
 };
 
 class replica_stand_in final : public http_handler
