A third of the soak's faults at replicas hit those of requests that may run once

Cause: the mutant that repeats every request (and takes any configuration) still passed: such replicas lost answers in one run of seven.

--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -31,6 +31,7 @@
 constexpr duration rollback_slack = std::chrono::milliseconds{250};
 // A service for each version that a run can reach, so that an answer tells its version for sure.
 constexpr std::size_t moving_services = 12;
+constexpr std::size_t once_replicas = 3;
 constexpr std::uint16_t ports_of_host = 6;
 // Requests of each kind whose causes are looked up: enough to see all causes of a run.
 constexpr std::size_t most_explanations = 20;
@@ -91,7 +92,7 @@
         services.insert(services.end(), 2, "shard-" + std::to_string(i));
     for (std::size_t i = 0; i < moving_services; ++i)
         services.push_back(moving_service(i));
-    services.insert(services.end(), 3, "once");
+    services.insert(services.end(), once_replicas, "once");
     std::uint16_t port = static_cast<std::uint16_t>(m_options.first_port + 10);
     for (std::size_t i = 0; i < services.size(); ++i)
     {
@@ -286,7 +287,12 @@
 
 void soak_world::strike_replica()
 {
-    stand_ins::replica_stand_in* replica = m_replicas[draw(m_replicas.size())].get();
+    // The replicas of requests that may run once are the last ones; they get a third of the faults,
+    // since a mistake there is the worst.
+    const bool is_once = draw(3) == 0;
+    const std::uint64_t chosen =
+        is_once ? m_replicas.size() - 1 - draw(once_replicas) : draw(m_replicas.size());
+    stand_ins::replica_stand_in* replica = m_replicas[chosen].get();
     const duration length = draw_ms(300, 4'000);
     switch (draw(10))
     {
