--- a/tanagerspur/testing/mirror_test.cpp
+++ b/tanagerspur/testing/mirror_test.cpp
@@ -254,7 +254,7 @@
         relayed.set_readers({make_candidate("gone", "a", 1)});
         m_store->set_away(true);
         int failures = 0;
-        std::function<void(change_list)> again = [&](change_list list)
+        const std::function<void(const change_list&)> again = [&](const change_list& list)
         {
             CPPUNIT_ASSERT(list.outcome == store_outcome::unavailable);
             if (++failures < 20)
@@ -268,6 +268,7 @@
     void readers_are_few_large_and_in_different_zones()
     {
         std::vector<reader_candidate> hosts;
+        hosts.reserve(70);
         for (int i = 0; i < 70; ++i)
             hosts.push_back(
                 make_candidate("h" + std::to_string(i), i % 2 == 0 ? "a" : "b", i < 4 ? 500 : 120));
