--- a/tanagerspur/membership/peer_table.cpp
+++ b/tanagerspur/membership/peer_table.cpp
@@ -68,7 +68,11 @@
 void peer_table::on_refused(time_point sent, const host_id& host)
 {
     const auto found = m_peers.find(host);
-    if (found != m_peers.end())
+    if (found == m_peers.end())
+        return;
+    // The peer was heard from after the probe was sent: it has started again since.
+    const bool is_outdated = found->second.heard && *found->second.heard > sent;
+    if (!is_outdated)
         found->second.refused = sent;
 }
 
@@ -93,7 +97,8 @@
 bool peer_table::is_heard(time_point now, const host_id& host) const
 {
     const peer* each = find(host);
-    return each != nullptr && each->heard && now - *each->heard < m_options.silence;
+    return each != nullptr && each->heard && now - *each->heard < m_options.silence &&
+           !is_dead(now, host);
 }
 
 // A peer that was never heard from gets the silence period from when it was first listed.
--- a/tanagerspur/membership/peer_table.hpp
+++ b/tanagerspur/membership/peer_table.hpp
@@ -78,6 +78,7 @@
     void on_reach_report(time_point now, const host_id& reporter, const host_id& host,
                          bool reached);
 
+    // Heard from lately, and not known dead since.
     bool is_heard(time_point now, const host_id& host) const;
     bool is_silent(time_point now, const host_id& host) const;
     bool is_dead(time_point now, const host_id& host) const;
--- a/tanagerspur/testing/fleet_test.cpp
+++ b/tanagerspur/testing/fleet_test.cpp
@@ -175,6 +175,7 @@
     CPPUNIT_TEST(keeps_its_promises_under_any_schedule_of_faults);
     CPPUNIT_TEST(serves_on_through_a_store_outage);
     CPPUNIT_TEST(takes_over_from_a_killed_owner);
+    CPPUNIT_TEST(dead_host_is_given_no_shards);
     CPPUNIT_TEST(takes_over_from_a_paused_owner_that_wakes_up);
     CPPUNIT_TEST(non_idempotent_runs_once_whatever_host_is_asked);
     CPPUNIT_TEST(draining_host_cuts_off_no_request);
@@ -275,6 +276,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owned_by(*fleet, 0, "h1"));
     }
 
+    // A killed host was heard from a moment ago and owns nothing any more, which makes it look like
+    // the best host to move shards to.
+    void dead_host_is_given_no_shards()
+    {
+        for (std::uint64_t seed = 3; seed < 43; ++seed)
+        {
+            const auto fleet = make_fleet(seed);
+            fleet->run_for(std::chrono::milliseconds{400 + 53 * seed});
+            CPPUNIT_ASSERT(owned_by(*fleet, 0, "h1") > 0);
+            fleet->kill(1);
+            bool is_taken_over = false;
+            for (int step = 0; step < 250; ++step)
+            {
+                fleet->run_for(std::chrono::milliseconds{8});
+                const std::size_t owned = owned_by(*fleet, 0, "h1");
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !is_taken_over || owned == 0);
+                is_taken_over = owned == 0;
+            }
+            CPPUNIT_ASSERT(is_taken_over);
+        }
+    }
+
     // The lapsed holder still believes that it owns; the total at a target stays in its limit.
     void takes_over_from_a_paused_owner_that_wakes_up()
     {
