--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -55,6 +55,7 @@
     , m_registry(registry)
     , m_environment(environment)
     , m_choice({.own_zone = options.own_zone}, options.seed)
+    , m_admission(options.admission)
     , m_splits(options.seed + 1)
     , m_random(options.seed + 2)
     , m_slack(options.retries.length)
@@ -129,18 +130,37 @@
         made->legs.push_back({.service = m_splits.pick(on)});
     exchange& started = *made;
     m_exchanges[id.value()] = std::move(made);
+    for (const leg& each : started.legs)
+        budget_of(each.service).count_request(now);
+    if (on.scatter)
+        admit(started, now);
     for (std::size_t i = 0; i < started.legs.size(); ++i)
-    {
-        budget_of(started.legs[i].service).count_request(now);
-        send_first(started, i, now);
-    }
+        if (started.legs[i].now == leg::state::pending)
+            send_first(started, i, now);
     settle(started, now);
 }
 
+void forwarder::admit(exchange& of, time_point now)
+{
+    admission_request wanted{.needed = needed_parts(of),
+                             .usual = usual_latency(*of.on),
+                             .objective_left = of.answer_at - now,
+                             .time_left = of.deadline - now};
+    wanted.shards.reserve(of.legs.size());
+    for (const leg& each : of.legs)
+        wanted.shards.push_back(&m_registry.of_service(each.service));
+    const admission judged = m_admission.judge(wanted, now);
+    if (judged == admission::admitted)
+        return;
+    ++m_counters.turned_away;
+    for (leg& each : of.legs)
+        fail_leg(each, judged == admission::overloaded ? "overloaded" : "no_replica");
+}
+
 void forwarder::send_first(exchange& of, std::size_t leg_index, time_point now)
 {
     leg& which = of.legs[leg_index];
-    const sending done = send_next(of, leg_index, now);
+    const sending done = send_next(of, leg_index, attempt_kind::first, now);
     if (done == sending::no_replica)
         return fail_leg(which, "no_replica");
     if (done == sending::sent)
@@ -180,7 +200,7 @@
         return;
     const waiting_leg first = found->second.begin()->second;
     exchange& of = *m_exchanges.at(first.exchange.value());
-    const sending done = send_next(of, first.leg, now);
+    const sending done = send_next(of, first.leg, attempt_kind::first, now);
     if (done == sending::no_room)
         return;
     leg& which = of.legs[first.leg];
@@ -190,12 +210,18 @@
     settle(of, now);
 }
 
-forwarder::sending forwarder::send_next(exchange& of, std::size_t leg_index, time_point now)
+forwarder::sending forwarder::send_next(exchange& of, std::size_t leg_index, attempt_kind kind,
+                                        time_point now)
 {
     leg& which = of.legs[leg_index];
     const duration usual = usual_latency(*of.on);
-    const choice_request wanted{
-        .usual = usual, .failure_cost = of.on->latency_objective, .tried = &which.tried};
+    const auto failure_cost = duration{static_cast<duration::rep>(
+        m_options.failure_cost * static_cast<double>(of.on->latency_objective.count()))};
+    // A hedge must not wait in a queue, before which it would put off the first attempts of others.
+    const choice_request wanted{.usual = usual,
+                                .failure_cost = failure_cost,
+                                .tried = &which.tried,
+                                .needs_no_queue = kind == attempt_kind::hedge};
     const choice chosen = m_choice.choose(
         m_registry.of_service(which.service), wanted,
         [this](const replica& at) { return m_environment.has_room(at); }, now);
@@ -209,7 +235,7 @@
                           .route = of.on->name,
                           .usual = usual,
                           .sent = now};
-    to->estimate.attempt_sent(number, now, usual);
+    to->estimate.attempt_sent(number, now, usual, to->record.slots);
     which.tried.push_back(to->number);
     which.under_way.push_back(number);
     ++which.sends;
@@ -226,18 +252,20 @@
     return sending::sent;
 }
 
-bool forwarder::send_again(exchange& of, std::size_t leg_index, double reserve, time_point now)
+bool forwarder::send_again(exchange& of, std::size_t leg_index, attempt_kind kind, time_point now)
 {
     leg& which = of.legs[leg_index];
     if (which.sends >= of.on->max_attempts)
         return false;
     retry_window& budget = budget_of(which.service);
+    const double reserve =
+        kind == attempt_kind::hedge ? m_options.hedge_reserve * m_slack.full() : 0;
     if (budget.left(now, m_slack.at(now)) < 1 + reserve)
     {
         ++m_counters.budget_denied;
         return false;
     }
-    if (send_next(of, leg_index, now) != sending::sent)
+    if (send_next(of, leg_index, kind, now) != sending::sent)
         return false;
     budget.spend(now);
     ++of.extra_attempts;
@@ -339,7 +367,7 @@
         // Nothing reached a replica: the attempt does not count, nor cost the budget.
         --which.sends;
         if (++which.connect_failures < max_connect_failures && now < of.deadline &&
-            send_next(of, leg_index, now) == sending::sent)
+            send_next(of, leg_index, attempt_kind::first, now) == sending::sent)
             return;
         if (which.under_way.empty())
             fail_leg(which, "no_connection");
@@ -351,7 +379,7 @@
         which.answer = std::move(outcome.answer);
     const bool may_repeat = of.on->is_idempotent || outcome.result == attempt_result::refused;
     if (may_repeat && which.under_way.empty() && now < of.deadline &&
-        send_again(of, leg_index, 0, now))
+        send_again(of, leg_index, attempt_kind::repeat, now))
     {
         ++m_counters.retries;
         return;
@@ -368,7 +396,7 @@
         if (which.now != leg::state::pending || now < which.hedge_at)
             continue;
         which.hedge_at = never;
-        if (!send_again(of, i, m_options.hedge_reserve * m_slack.full(), now))
+        if (!send_again(of, i, attempt_kind::hedge, now))
             continue;
         ++m_counters.hedges;
     }
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "tanagerspur/forwarding/messages.hpp"
 #include "tanagerspur/forwarding/replica_choice.hpp"
 #include "tanagerspur/forwarding/retry_window.hpp"
+#include "tanagerspur/forwarding/scatter_admission.hpp"
 #include "tanagerspur/routing/route_table.hpp"
 #include "tanagerspur/routing/split_picker.hpp"
 
@@ -42,6 +43,10 @@
     // Share of this host's slack that hedges leave to failures: a repeat after a failure is
     // needed, a hedge is only likely to be.
     double hedge_reserve = 0.1;
+    // What a failed attempt costs its caller, in latency objectives: it is weighed against the time
+    // that other replicas take. More than one, for a failure may cost the whole answer.
+    double failure_cost = 3;
+    admission_options admission;
     // Longest wait for a free connection, as a share of the route's objective. It bridges the burst
     // of callers that return together; what is still waiting then is refused.
     double room_wait = 0.4;
@@ -66,6 +71,8 @@
     std::uint64_t retries = 0;
     std::uint64_t budget_denied = 0;
     std::uint64_t waited_for_room = 0;
+    // Scatters that were refused before anything was sent.
+    std::uint64_t turned_away = 0;
 };
 
 // One attempt to send.
@@ -233,6 +240,12 @@
     retry_window& budget_of(const service_id& service);
     std::size_t needed_parts(const exchange& of) const;
 
+    enum class attempt_kind
+    {
+        first,
+        repeat, // after a failure
+        hedge   // beside an attempt that is under way
+    };
     enum class sending
     {
         sent,
@@ -240,14 +253,16 @@
         no_replica
     };
     // Sends the leg's next attempt, if a replica can take it.
-    sending send_next(exchange& of, std::size_t leg_index, time_point now);
+    sending send_next(exchange& of, std::size_t leg_index, attempt_kind kind, time_point now);
+    // Fails all legs of a scatter that is not worth starting.
+    void admit(exchange& of, time_point now);
     // Sends the leg's first attempt, lets it wait for a connection, or fails it.
     void send_first(exchange& of, std::size_t leg_index, time_point now);
     void stop_waiting(leg& which);
     // A connection to a replica of the service has become free.
     void serve_waiting(const service_id& service, time_point now);
-    // Sends another attempt if attempts and budget allow it; the reserve is left in the budget.
-    bool send_again(exchange& of, std::size_t leg_index, double reserve, time_point now);
+    // Sends another attempt if attempts and budget allow it.
+    bool send_again(exchange& of, std::size_t leg_index, attempt_kind kind, time_point now);
     void learn(const attempt& ended, std::uint64_t number, const attempt_outcome& outcome,
                time_point now);
     void note(const exchange& of, const attempt& ended, const attempt_outcome& outcome,
@@ -271,6 +286,7 @@
     replica_registry& m_registry;
     forwarder_environment& m_environment;
     replica_choice m_choice;
+    scatter_admission m_admission;
     split_picker m_splits;
     std::mt19937_64 m_random;
     std::map<std::string, route_latency> m_latencies;
--- a/tanagerspur/forwarding/replica_choice.cpp
+++ b/tanagerspur/forwarding/replica_choice.cpp
@@ -36,6 +36,9 @@
                                          each->number) != request.tried->end();
         if (was_tried || !each->estimate.is_reachable(now))
             continue;
+        const bool has_queue = each->estimate.expected_ahead(now) > each->record.slots;
+        if (request.needs_no_queue && has_queue)
+            continue;
         if (!room(*each))
         {
             best.is_waiting_for_room = true;
--- /dev/null
+++ b/tanagerspur/forwarding/scatter_admission.hpp
@@ -0,0 +1,78 @@
+// Decides whether a scatter is worth starting. Under overload, queues at a few shards make every
+// request late: what is answered too late has cost all shards their work. A request is turned away
+// before anything is sent, when so many of its shards can't answer in time that the rest lacks
+// coverage. The load that this answers is one beyond the capacity of some shards; see
+// shard_load_test.
+//
+// Guarantee: a request is turned away only if no shard was asked, so the refusal is true.
+
+#ifndef TANAGERSPUR_FORWARDING_SCATTER_ADMISSION_HPP
+#define TANAGERSPUR_FORWARDING_SCATTER_ADMISSION_HPP
+
+#include "tanagerspur/registry/replica_registry.hpp"
+
+#include <vector>
+
+namespace tanagerspur
+{
+
+struct admission_options
+{
+    // A shard is too busy when its best replica is expected to answer later than this multiple of
+    // the time that is left to the objective. Above one, since a wrong refusal costs an answer.
+    double lateness = 1.25;
+    // A replica that would take longer than this multiple without a queue is not busy but slow.
+    // Above one, since part of the time in a queue is taken for slowness.
+    double idle_lateness = 1.5;
+};
+
+// A scatter that may begin.
+struct admission_request
+{
+    // For each shard, the replicas that may get work.
+    std::vector<const std::vector<replica_ref>*> shards;
+    // Shards that have to answer.
+    std::size_t needed = 1;
+    // Latency that is usual for the route.
+    duration usual{0};
+    // Time left until the answer is late, and until the caller gives up.
+    duration objective_left{0};
+    duration time_left{0};
+};
+
+enum class admission
+{
+    admitted,
+    no_replica, // too many shards have no replica that can be reached
+    overloaded  // too many shards are too busy
+};
+
+class scatter_admission
+{
+public:
+    explicit scatter_admission(admission_options options = {})
+        : m_options(options)
+    {
+    }
+
+    admission judge(const admission_request& request, time_point now) const;
+
+private:
+    enum class prospect
+    {
+        in_time,
+        too_busy,
+        no_replica
+    };
+
+    prospect prospect_of(const std::vector<replica_ref>& replicas, const admission_request& request,
+                         time_point now) const;
+    bool is_soon_enough(const replica& candidate, const admission_request& request,
+                        time_point now) const;
+
+    admission_options m_options;
+};
+
+} // namespace tanagerspur
+
+#endif
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -531,6 +531,7 @@
     add("attempts_extra_total{why=\"retry\"}", counts.retries);
     add("attempts_denied_by_budget_total", counts.budget_denied);
     add("legs_waited_for_room_total", counts.waited_for_room);
+    add("scatters_turned_away_total", counts.turned_away);
     add("legs_waiting_for_room", m_forwarder.waiting());
     add("requests_under_way", m_forwarder.under_way());
     add("replica_connections", m_pool.open_connections());
--- a/tanagerspur/registry/replica_estimate.cpp
+++ b/tanagerspur/registry/replica_estimate.cpp
@@ -54,16 +54,20 @@
     m_failures_at = now;
 }
 
-void replica_estimate::attempt_sent(std::uint64_t attempt, time_point now, duration usual)
+void replica_estimate::attempt_sent(std::uint64_t attempt, time_point now, duration usual,
+                                    std::uint32_t slots)
 {
-    m_under_way[attempt] = {.sent = now, .usual = usual};
+    m_under_way[attempt] = {.sent = now, .usual = usual, .queued = expected_queue(now, slots)};
 }
 
 void replica_estimate::attempt_answered(std::uint64_t attempt, time_point now, duration latency,
                                         duration usual)
 {
+    const auto found = m_under_way.find(attempt);
+    // Time in the queue says nothing of the replica's speed, and the queue is counted apart.
+    const double queued = found == m_under_way.end() ? 0 : found->second.queued;
     end_attempt(attempt);
-    learn_slowness(as_double(latency) / std::max(1.0, as_double(usual)), now);
+    learn_slowness(as_double(latency) / std::max(1.0, as_double(usual)) / (1 + queued), now);
     learn_failure(0, now);
 }
 
@@ -113,14 +117,27 @@
 // are known from the told load; it is weighted down as it ages.
 double replica_estimate::expected_ratio(time_point now, std::uint32_t slots) const
 {
-    double slowness = std::max(0.3, faded(m_slowness, 1, m_slowness_at, now));
-    if (now < m_warm_at)
-        slowness = std::max(slowness, warming_factor);
+    const double busy = 0.3 * expected_ahead(now) / std::max(1U, slots);
+    return slowness(now) * (1 + busy + expected_queue(now, slots));
+}
+
+double replica_estimate::expected_ahead(time_point now) const
+{
     const double age = as_double(now - m_load_at);
     const double told = (m_load.running + m_load.waiting) * std::exp(-age / as_double(load_fade));
-    const double ahead = std::max(told, static_cast<double>(m_under_way.size()));
+    return std::max(told, static_cast<double>(m_under_way.size()));
+}
+
+double replica_estimate::expected_queue(time_point now, std::uint32_t slots) const
+{
     const double places = std::max(1U, slots);
-    return slowness * (1 + 0.3 * ahead / places + std::max(0.0, ahead - places + 1) / places);
+    return std::max(0.0, expected_ahead(now) - places + 1) / places;
+}
+
+double replica_estimate::slowness(time_point now) const
+{
+    const double learned = std::max(0.3, faded(m_slowness, 1, m_slowness_at, now));
+    return now < m_warm_at ? std::max(learned, warming_factor) : learned;
 }
 
 duration replica_estimate::overdue(time_point now) const
--- a/tanagerspur/registry/replica_estimate.hpp
+++ b/tanagerspur/registry/replica_estimate.hpp
@@ -26,8 +26,9 @@
 class replica_estimate
 {
 public:
-    // An attempt was sent; it ends with one of the calls below, with the same number.
-    void attempt_sent(std::uint64_t attempt, time_point now, duration usual);
+    // An attempt was sent; it ends with one of the calls below, with the same number. slots is the
+    // registered number of slots.
+    void attempt_sent(std::uint64_t attempt, time_point now, duration usual, std::uint32_t slots);
 
     // A good answer after the latency; usual is what the route takes on an ordinary replica.
     void attempt_answered(std::uint64_t attempt, time_point now, duration latency, duration usual);
@@ -57,6 +58,15 @@
     // slots is the registered number of slots.
     double expected_ratio(time_point now, std::uint32_t slots) const;
 
+    // Requests that are expected to be at the replica, of all hosts.
+    double expected_ahead(time_point now) const;
+
+    // What its queue adds to the latency of the next attempt, in multiples of the time in a slot.
+    double expected_queue(time_point now, std::uint32_t slots) const;
+
+    // Time that a request takes on the replica when it has no queue, in multiples of what is usual.
+    double slowness(time_point now) const;
+
     // Longest time by which an attempt that is under way has outlasted its usual latency.
     duration overdue(time_point now) const;
 
@@ -73,6 +83,8 @@
     {
         time_point sent;
         duration usual;
+        // What the queue was expected to add to its latency, in multiples of its time in a slot.
+        double queued = 0;
     };
 
     void end_attempt(std::uint64_t attempt) { m_under_way.erase(attempt); }
--- a/tanagerspur/testing/fleet_test.cpp
+++ b/tanagerspur/testing/fleet_test.cpp
@@ -291,7 +291,8 @@
             {
                 fleet->run_for(std::chrono::milliseconds{8});
                 const std::size_t owned = owned_by(*fleet, 0, "h1");
-                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), !is_taken_over || owned == 0);
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                       !is_taken_over || owned == 0);
                 is_taken_over = owned == 0;
             }
             CPPUNIT_ASSERT(is_taken_over);
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -384,6 +384,7 @@
     CPPUNIT_TEST(guarantees_hold_under_any_schedule);
     CPPUNIT_TEST(shard_without_replicas_is_left_out_if_coverage_allows);
     CPPUNIT_TEST(request_without_replicas_is_refused_at_once);
+    CPPUNIT_TEST(scatter_that_lacks_coverage_asks_no_shard);
     CPPUNIT_TEST(paused_replica_is_hedged_before_the_objective);
     CPPUNIT_TEST(partial_answer_comes_in_time_for_the_objective);
     CPPUNIT_TEST(lost_request_that_may_have_run_is_not_refused);
@@ -440,6 +441,21 @@
         CPPUNIT_ASSERT(answer.retry_after.has_value());
     }
 
+    // The other shards must not work for an answer that can't be given.
+    void scatter_that_lacks_coverage_asks_no_shard()
+    {
+        world at;
+        for (std::size_t i = 0; i < 2; ++i)
+            for (std::size_t j = 0; j < replicas_of_shard; ++j)
+                at.m_registry.remove(world::record_of(i, j, 1).id, at.m_now);
+        at.m_now += std::chrono::seconds{3};
+        at.m_registry.tick(at.m_now);
+        const std::uint64_t request = at.begin(route_kind::scatter);
+        CPPUNIT_ASSERT(at.m_sent.empty());
+        CPPUNIT_ASSERT_EQUAL(503, at.m_traces[request].answers.at(0).status);
+        CPPUNIT_ASSERT(at.m_traces[request].answers.at(0).retry_after.has_value());
+    }
+
     void paused_replica_is_hedged_before_the_objective()
     {
         world at;
--- a/tanagerspur/testing/registry_test.cpp
+++ b/tanagerspur/testing/registry_test.cpp
@@ -162,7 +162,7 @@
         replica_estimate slow;
         for (std::uint64_t i = 0; i < 2; ++i)
         {
-            slow.attempt_sent(i, at_ms(0), usual);
+            slow.attempt_sent(i, at_ms(0), usual, 2);
             slow.attempt_answered(i, at_ms(80), 10 * usual, usual);
         }
         CPPUNIT_ASSERT(slow.expected_ratio(at_ms(80), 2) > 4);
@@ -173,7 +173,7 @@
     {
         constexpr duration usual = std::chrono::milliseconds{8};
         replica_estimate paused;
-        paused.attempt_sent(1, at_ms(0), usual);
+        paused.attempt_sent(1, at_ms(0), usual, 2);
         CPPUNIT_ASSERT(paused.overdue(at_ms(10)) == duration{0});
         CPPUNIT_ASSERT(paused.overdue(at_ms(50)) == duration{std::chrono::milliseconds{34}});
         paused.attempt_abandoned(1, at_ms(60));
--- /dev/null
+++ b/tanagerspur/testing/scatter_admission_test.cpp
@@ -0,0 +1,117 @@
+// Admission of scatters, against a count of what each shard can do, over all combinations.
+
+#include "tanagerspur/forwarding/scatter_admission.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace tanagerspur
+{
+
+namespace
+{
+
+constexpr duration usual = std::chrono::milliseconds{10};
+constexpr duration objective = std::chrono::milliseconds{80};
+constexpr std::size_t shard_count = 4;
+
+enum class shard_state
+{
+    idle,
+    busy,
+    unreachable,
+    empty,
+    count
+};
+
+time_point now()
+{
+    return time_point{std::chrono::seconds{100}};
+}
+
+replica_ref make_replica(std::uint32_t waiting, bool is_reachable)
+{
+    auto made = std::make_shared<replica>();
+    made->record.slots = 2;
+    made->estimate.load_reported({.running = 2, .waiting = waiting, .slots = 2}, now());
+    if (!is_reachable)
+        made->estimate.connect_failed(now());
+    return made;
+}
+
+std::vector<replica_ref> make_shard(shard_state state)
+{
+    switch (state)
+    {
+    case shard_state::idle:
+        return {make_replica(40, true), make_replica(0, true)};
+    case shard_state::busy:
+        return {make_replica(40, true), make_replica(30, true), make_replica(0, false)};
+    case shard_state::unreachable:
+        return {make_replica(0, false)};
+    default:
+        return {};
+    }
+}
+
+} // namespace
+
+class scatter_admission_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(scatter_admission_test);
+    CPPUNIT_TEST(agrees_with_a_count_of_the_shards);
+    CPPUNIT_TEST(what_cannot_be_served_before_the_deadline_is_turned_away);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void agrees_with_a_count_of_the_shards()
+    {
+        constexpr std::size_t states = static_cast<std::size_t>(shard_state::count);
+        for (std::size_t code = 0; code < states * states * states * states; ++code)
+            for (std::size_t needed = 1; needed <= shard_count; ++needed)
+                check(code, needed);
+    }
+
+    void what_cannot_be_served_before_the_deadline_is_turned_away()
+    {
+        const std::vector<replica_ref> shard = {make_replica(0, true)};
+        shard[0]->estimate.attempt_sent(1, now(), usual, 2);
+        admission_request wanted{.shards = {&shard},
+                                 .usual = usual,
+                                 .objective_left = objective,
+                                 .time_left = std::chrono::milliseconds{400}};
+        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()) == admission::admitted);
+        wanted.time_left = std::chrono::milliseconds{4};
+        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()) == admission::overloaded);
+    }
+
+private:
+    static void check(std::size_t code, std::size_t needed)
+    {
+        std::vector<std::vector<replica_ref>> shards;
+        std::size_t idle = 0;
+        std::size_t busy = 0;
+        for (std::size_t i = 0; i < shard_count; ++i, code /= 4)
+        {
+            const auto state = static_cast<shard_state>(code % 4);
+            idle += state == shard_state::idle ? 1 : 0;
+            busy += state == shard_state::busy ? 1 : 0;
+            shards.push_back(make_shard(state));
+        }
+        admission_request wanted{.needed = needed,
+                                 .usual = usual,
+                                 .objective_left = objective,
+                                 .time_left = std::chrono::milliseconds{800}};
+        for (const auto& each : shards)
+            wanted.shards.push_back(&each);
+        const admission expected = idle >= needed          ? admission::admitted
+                                   : idle + busy >= needed ? admission::overloaded
+                                                           : admission::no_replica;
+        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()) == expected);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(scatter_admission_test);
+
+} // namespace tanagerspur
--- /dev/null
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -0,0 +1,276 @@
+#include "tanagerspur/testing/shard_simulation.hpp"
+
+#include <cmath>
+#include <set>
+
+namespace tanagerspur::testing
+{
+
+namespace
+{
+
+constexpr duration one_way = std::chrono::microseconds{500};
+constexpr std::string_view path = "/search/";
+// Lognormal spread of the work, as the users' replicas have it.
+constexpr double work_spread = 0.35;
+// One request in a hundred takes five times as long.
+constexpr double straggler_share = 0.01;
+constexpr double straggler_factor = 5;
+
+std::shared_ptr<const route_table> make_table(const simulation_options& options)
+{
+    route on{.name = "search",
+             .host = "h",
+             .prefix = std::string{path},
+             .is_idempotent = true,
+             .timeout = options.timeout,
+             .latency_objective = options.objective,
+             .max_attempts = 2};
+    on.scatter = scatter_rule{.top_records = 4, .min_coverage = options.min_coverage};
+    for (std::size_t i = 0; i < options.shards; ++i)
+        on.scatter->shards.push_back(service_id{"shard-" + std::to_string(i)});
+    routing_configuration made{.version = configuration_version{1}};
+    made.routes = {on};
+    return std::make_shared<const route_table>(std::move(made));
+}
+
+} // namespace
+
+// One host: its view of the replicas, and its forwarder.
+class shard_simulation::host final : public forwarder_environment, private registry_observer
+{
+public:
+    host(shard_simulation& world, std::size_t number)
+        : m_world(world)
+        , m_registry({}, *this)
+        , m_forwarder({.own_zone = zone_id{"zone-" + std::to_string(number % 3)},
+                       .seed = world.m_options.seed + number,
+                       .retries = {.ratio = world.m_options.retry_ratio}},
+                      m_registry, *this)
+    {
+        const simulation_options& options = world.m_options;
+        for (std::size_t i = 0; i < options.shards * options.replicas_of_shard; ++i)
+            m_registry.put(
+                {.id = replica_id{std::to_string(i)},
+                 .service = service_id{"shard-" + std::to_string(i / options.replicas_of_shard)},
+                 .zone = zone_id{"zone-" + std::to_string(i % options.replicas_of_shard)},
+                 .slots = options.slots,
+                 .started_ms = 1},
+                world.m_now);
+        m_forwarder.set_retry_slack(options.retry_slack / static_cast<double>(options.hosts),
+                                    world.m_now);
+    }
+
+    void begin()
+    {
+        auto request = std::make_shared<caller_request>();
+        request->id = request_id{std::to_string(m_world.m_next_request)};
+        m_forwarder.begin(exchange_id{m_world.m_next_request++}, request, m_world.m_table,
+                          *m_world.m_table->match("h", path), m_world.m_now);
+    }
+
+    void deliver(std::uint64_t attempt, attempt_outcome outcome)
+    {
+        m_world.at(m_world.m_now + one_way,
+                   [this, attempt, outcome = std::move(outcome)]
+                   {
+                       if (m_open.erase(attempt) > 0)
+                           m_forwarder.attempt_ended(attempt, outcome, m_world.m_now);
+                   });
+    }
+
+    // A replica need not run what nobody waits for.
+    bool is_open(std::uint64_t attempt) const { return m_open.contains(attempt); }
+
+    void send(const attempt_order& order) override
+    {
+        m_open.insert(order.number);
+        const std::size_t to = std::stoul(order.to->record.id.value());
+        m_world.at(m_world.m_now + one_way, [this, to, attempt = order.number]
+                   { m_world.arrive(to, {.from = this, .attempt = attempt}); });
+    }
+
+    void end_by(std::uint64_t attempt, time_point end) override
+    {
+        m_world.at(end, [this, attempt] { abort(attempt); });
+    }
+
+    void abort(std::uint64_t attempt) override
+    {
+        if (m_open.contains(attempt))
+            deliver(attempt, {.result = attempt_result::abandoned});
+    }
+
+    bool withdraw(std::uint64_t /*attempt*/) override { return false; }
+
+    bool has_room(const replica& at) override
+    {
+        return at.estimate.in_flight() < m_world.m_options.connections;
+    }
+
+    void answer(exchange_id /*exchange*/, caller_answer answer) override
+    {
+        load_outcome& outcome = m_world.m_outcome;
+        if (answer.status == 503)
+            ++outcome.refused;
+        else if (answer.status != 200)
+            ++outcome.failed;
+    }
+
+    void wake_at(exchange_id exchange, time_point when) override
+    {
+        m_world.at(when, [this, exchange] { m_forwarder.wake(exchange, m_world.m_now); });
+    }
+
+    void finished(const exchange_summary& summary) override
+    {
+        m_world.m_first_attempts += summary.attempts - summary.extra_attempts;
+        m_world.m_extra_attempts += summary.extra_attempts;
+        if (summary.status != 200)
+            return;
+        load_outcome& outcome = m_world.m_outcome;
+        ++outcome.answered;
+        outcome.complete += summary.parts == summary.expected_parts ? 1 : 0;
+        outcome.in_time += summary.took <= m_world.m_options.objective ? 1 : 0;
+    }
+
+    void attempt_noted(const attempt_note& /*note*/) override {}
+
+private:
+    void replica_added(const replica& /*added*/) override {}
+    void replica_left(const replica& /*left*/, removal /*why*/) override {}
+
+    shard_simulation& m_world;
+    replica_registry m_registry;
+    forwarder m_forwarder;
+    std::set<std::uint64_t> m_open;
+};
+
+shard_simulation::shard_simulation(simulation_options options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_table(make_table(options))
+    , m_replicas(options.shards * options.replicas_of_shard)
+{
+    for (std::size_t i = 0; i < options.hosts; ++i)
+        m_hosts.push_back(std::make_unique<host>(*this, i));
+}
+
+shard_simulation::~shard_simulation() = default;
+
+void shard_simulation::set_fault(std::size_t shard, std::size_t replica, replica_fault fault)
+{
+    m_replicas.at(shard * m_options.replicas_of_shard + replica).fault = fault;
+}
+
+load_outcome shard_simulation::play(duration time)
+{
+    run_until(m_now + m_options.timeout);
+    m_outcome = {};
+    m_first_attempts = 0;
+    m_extra_attempts = 0;
+    const time_point end = m_now + time;
+    std::exponential_distribution<> gap_s{m_options.requests_per_second};
+    time_point next = m_now;
+    while (next < end)
+    {
+        at(next, [this] { m_hosts[m_random() % m_hosts.size()]->begin(); });
+        ++m_outcome.asked;
+        next += duration{static_cast<duration::rep>(1e6 * gap_s(m_random))};
+    }
+    run_until(end + m_options.timeout);
+    m_outcome.extra_share =
+        static_cast<double>(m_extra_attempts) / static_cast<double>(m_first_attempts);
+    return m_outcome;
+}
+
+void shard_simulation::at(time_point when, std::function<void()> what)
+{
+    m_events.emplace(when, std::move(what));
+}
+
+void shard_simulation::run_until(time_point end)
+{
+    while (!m_events.empty() && m_events.begin()->first <= end)
+    {
+        auto event = m_events.extract(m_events.begin());
+        m_now = std::max(m_now, event.key());
+        event.mapped()();
+    }
+    m_now = end;
+}
+
+bool shard_simulation::draw(double share)
+{
+    return std::uniform_real_distribution<>{}(m_random) < share;
+}
+
+duration shard_simulation::draw_work()
+{
+    const double mean = static_cast<double>(m_options.mean_work.count());
+    std::lognormal_distribution<> work{std::log(mean) - work_spread * work_spread / 2, work_spread};
+    const double factor = draw(straggler_share) ? straggler_factor : 1;
+    return duration{static_cast<duration::rep>(factor * work(m_random))};
+}
+
+// The pauses of a replica begin at a phase that follows from its number.
+time_point shard_simulation::end_of_work(std::size_t number, duration work) const
+{
+    const duration phase = m_options.pause_period *
+                           static_cast<int>(number * 7 % m_replicas.size()) /
+                           static_cast<int>(m_replicas.size());
+    const duration since_pause = (m_now.time_since_epoch() + phase) % m_options.pause_period;
+    const duration left_of_pause = std::max(duration{0}, m_options.pause - since_pause);
+    const duration next_pause = m_options.pause_period - since_pause;
+    const duration busy = left_of_pause + work;
+    return m_now + busy + (busy > next_pause ? m_options.pause : duration{0});
+}
+
+reported_load shard_simulation::load_of(std::size_t number) const
+{
+    const simulated_replica& of = m_replicas[number];
+    return {.running = of.running,
+            .waiting = static_cast<std::uint32_t>(of.queue.size()),
+            .slots = m_options.slots};
+}
+
+void shard_simulation::arrive(std::size_t number, waiting_run run)
+{
+    simulated_replica& to = m_replicas[number];
+    if (draw(to.fault.refuses) || to.queue.size() >= m_options.queue_length)
+        return run.from->deliver(run.attempt,
+                                 {.result = attempt_result::refused, .load = load_of(number)});
+    if (to.running < m_options.slots)
+        return start(number, run);
+    to.queue.push_back(run);
+}
+
+void shard_simulation::start(std::size_t number, waiting_run run)
+{
+    simulated_replica& by = m_replicas[number];
+    ++by.running;
+    const auto work = duration{
+        static_cast<duration::rep>(by.fault.slowness * static_cast<double>(draw_work().count()))};
+    at(end_of_work(number, work), [this, number, run] { end(number, run); });
+}
+
+void shard_simulation::end(std::size_t number, const waiting_run& run)
+{
+    simulated_replica& by = m_replicas[number];
+    --by.running;
+    attempt_outcome outcome{.result = attempt_result::answered, .load = load_of(number)};
+    outcome.answer.status = 200;
+    outcome.answer.signature = std::to_string(run.attempt);
+    if (draw(by.fault.loses))
+        outcome = {.result = attempt_result::failed};
+    run.from->deliver(run.attempt, std::move(outcome));
+    while (!by.queue.empty() && by.running < m_options.slots)
+    {
+        const waiting_run next = by.queue.front();
+        by.queue.pop_front();
+        if (next.from->is_open(next.attempt))
+            start(number, next);
+    }
+}
+
+} // namespace tanagerspur::testing
--- /dev/null
+++ b/tanagerspur/testing/shard_simulation.hpp
@@ -0,0 +1,127 @@
+// Hosts that forward scatters to replicas, on virtual time: real forwarders and registries, and a
+// model of replicas with slots, a queue, pauses and faults. Tests play a load on it and look at
+// what callers get.
+
+#ifndef TANAGERSPUR_TESTING_SHARD_SIMULATION_HPP
+#define TANAGERSPUR_TESTING_SHARD_SIMULATION_HPP
+
+#include "tanagerspur/forwarding/forwarder.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace tanagerspur::testing
+{
+
+struct simulation_options
+{
+    std::size_t hosts = 4;
+    std::size_t shards = 10;
+    std::size_t replicas_of_shard = 3;
+    std::uint32_t slots = 2;
+    std::size_t queue_length = 24;
+    // Connections of one host to a replica.
+    std::size_t connections = 3;
+    double requests_per_second = 135;
+    duration mean_work = std::chrono::microseconds{7'500};
+    // Each replica stands still for this long, once in every period, at a time of its own.
+    duration pause = std::chrono::milliseconds{100};
+    duration pause_period = std::chrono::milliseconds{2'400};
+    duration objective = std::chrono::milliseconds{80};
+    duration timeout = std::chrono::milliseconds{800};
+    double min_coverage = 0.89;
+    double retry_ratio = 0.18;
+    double retry_slack = 38;
+    std::uint64_t seed = 1;
+};
+
+// What is wrong with a replica; nothing by default.
+struct replica_fault
+{
+    // Share of the requests that it refuses without running them.
+    double refuses = 0;
+    // Share of the requests that it runs, but whose answer is lost.
+    double loses = 0;
+    // Multiplies its work.
+    double slowness = 1;
+};
+
+// What callers got.
+struct load_outcome
+{
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    std::size_t in_time = 0;
+    std::size_t complete = 0;
+    std::size_t refused = 0;
+    std::size_t failed = 0;
+    // Attempts beyond the first at each shard, as a share of the first ones.
+    double extra_share = 0;
+
+    double answered_share() const { return share(answered); }
+    double complete_share() const { return share(complete); }
+    double in_time_share() const { return share(in_time); }
+
+private:
+    double share(std::size_t count) const
+    {
+        return asked == 0 ? 0 : static_cast<double>(count) / static_cast<double>(asked);
+    }
+};
+
+class shard_simulation
+{
+public:
+    explicit shard_simulation(simulation_options options);
+    ~shard_simulation();
+
+    // The fault of a replica from now on.
+    void set_fault(std::size_t shard, std::size_t replica, replica_fault fault);
+
+    // Plays the load for the time and tells what callers got of the requests that began in it.
+    load_outcome play(duration time);
+
+private:
+    class host;
+    struct waiting_run
+    {
+        host* from = nullptr;
+        std::uint64_t attempt = 0;
+    };
+    struct simulated_replica
+    {
+        replica_fault fault;
+        std::uint32_t running = 0;
+        std::deque<waiting_run> queue;
+    };
+
+    void at(time_point when, std::function<void()> what);
+    void run_until(time_point end);
+    void arrive(std::size_t number, waiting_run run);
+    void start(std::size_t number, waiting_run run);
+    void end(std::size_t number, const waiting_run& run);
+    reported_load load_of(std::size_t number) const;
+    bool draw(double share);
+    duration draw_work();
+    time_point end_of_work(std::size_t number, duration work) const;
+
+    simulation_options m_options;
+    std::mt19937_64 m_random;
+    time_point m_now{std::chrono::seconds{100}};
+    std::multimap<time_point, std::function<void()>> m_events;
+    std::shared_ptr<const route_table> m_table;
+    std::vector<simulated_replica> m_replicas;
+    std::vector<std::unique_ptr<host>> m_hosts;
+    std::uint64_t m_next_request = 1;
+    load_outcome m_outcome;
+    std::size_t m_first_attempts = 0;
+    std::size_t m_extra_attempts = 0;
+};
+
+} // namespace tanagerspur::testing
+
+#endif
