--- a/programs/tanagerspur_gateway.cpp
+++ b/programs/tanagerspur_gateway.cpp
@@ -4,14 +4,15 @@
 #include "platform/dialect.hpp"
 #include "platform/host_calls.hpp"
 #include "platform/kv_store.hpp"
-#include "tanagerspur/common/ini.hpp"
 #include "tanagerspur/common/log.hpp"
 #include "tanagerspur/gateway/gateway.hpp"
 #include "tanagerspur/gateway/report_calls.hpp"
+#include "tanagerspur/gateway/settings_file.hpp"
 #include "tanagerspur/net/http_server.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
 #include <csignal>
@@ -28,28 +29,30 @@
 
 using namespace tanagerspur;
 
-std::variant<gateway_settings, input_error> read_settings()
-{
-    return capture(
-        []() -> result<gateway_settings>
-        {
-            BOOST_LEAF_AUTO(text, read_text_file(FLAGS_settings));
-            return parse_gateway_settings(FLAGS_settings, text);
-        });
-}
+// How often the settings file is looked at when no signal comes; changes are due within seconds.
+constexpr auto settings_interval = std::chrono::seconds{1};
 
-// SIGTERM and SIGINT stop the daemon, SIGHUP reads the settings again.
-class signal_watch
+// SIGTERM and SIGINT stop the daemon; SIGHUP, or a change of the file, reads the settings again.
+class process_watch
 {
 public:
-    signal_watch(boost::asio::io_context& io, gateway& host)
+    process_watch(boost::asio::io_context& io, gateway& host, settings_file& file)
         : m_io(io)
         , m_host(host)
+        , m_file(file)
         , m_signals(io, SIGTERM, SIGINT, SIGHUP)
+        , m_timer(io)
     {
     }
 
     void start()
+    {
+        watch_signals();
+        watch_file();
+    }
+
+private:
+    void watch_signals()
     {
         m_signals.async_wait(
             [this](boost::system::error_code error, int number)
@@ -57,30 +60,44 @@
                 if (error)
                     return;
                 if (number == SIGHUP)
-                    reload();
+                    reload(m_file.read());
                 else
                     m_host.stop([this] { m_io.stop(); });
-                start();
+                watch_signals();
             });
     }
 
-private:
-    void reload()
+    void watch_file()
+    {
+        m_timer.expires_after(settings_interval);
+        m_timer.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (error)
+                    return;
+                if (const auto changed = m_file.read_if_changed())
+                    reload(*changed);
+                watch_file();
+            });
+    }
+
+    void reload(const settings_or_error& read)
     {
-        const auto parsed = read_settings();
-        if (const auto* settings = std::get_if<gateway_settings>(&parsed))
+        if (const auto* settings = std::get_if<gateway_settings>(&read))
             m_host.reload(*settings);
         else
             event_log{"settings"}.write("reload_refused",
-                                        {{"why", to_string(std::get<input_error>(parsed))}});
+                                        {{"why", to_string(std::get<input_error>(read))}});
     }
 
     boost::asio::io_context& m_io;
     gateway& m_host;
+    settings_file& m_file;
     boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
 };
 
-int run(const gateway_settings& settings)
+int run(const gateway_settings& settings, settings_file& file)
 {
     boost::asio::io_context io{1};
     platform::kv_store store{io, {.store = settings.store}};
@@ -91,7 +108,7 @@
     http_server readiness{io, {.listen = settings.readiness}, calls};
     http_server directory{io, {.listen = settings.directory}, calls};
     http_server metrics{io, {.listen = settings.metrics}, reports};
-    signal_watch signals{io, host};
+    process_watch watch{io, host, file};
     for (const std::string& error :
          {readiness.start(), directory.start(), metrics.start(), host.start()})
         if (!error.empty())
@@ -100,7 +117,7 @@
             flush_event_logs();
             return exit_cannot_start;
         }
-    signals.start();
+    watch.start();
     io.run();
     flush_event_logs();
     return 0;
@@ -114,7 +131,8 @@
                             "Exit codes: 0 stopped, 2 bad settings, 3 cannot start.");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto parsed = read_settings();
+    settings_file file{FLAGS_settings};
+    const auto parsed = file.read();
     if (const auto* error = std::get_if<input_error>(&parsed))
     {
         std::cerr << "tanagerspur_gateway: " << to_string(*error) << "\n";
@@ -127,5 +145,5 @@
                   << ": [log] level: expected trace, debug, info, warning, error or off\n";
         return exit_bad_settings;
     }
-    return FLAGS_check ? 0 : run(settings);
+    return FLAGS_check ? 0 : run(settings, file);
 }
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include "tanagerspur/gateway/gateway.hpp"
 
+#include "tanagerspur/gateway/refusal_wait.hpp"
+
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
@@ -26,8 +28,6 @@
 constexpr duration stop_margin = std::chrono::milliseconds{1'000};
 // Time that the entries of other hosts are kept after they vanished around an outage.
 constexpr duration host_grace = std::chrono::seconds{3};
-// Retry-After while this host knows no configuration: a start takes some tenths of a second.
-constexpr duration starting_retry_after = std::chrono::milliseconds{200};
 // Time on the way that is assumed while the round trip to a caller is not known.
 constexpr duration default_round_trip = std::chrono::milliseconds{6};
 // For wake-ups, processing and writing of an answer.
@@ -108,7 +108,9 @@
 void gateway::publish_self()
 {
     m_directory.set_self(is_ready(), m_load.is_busy());
-    if (m_has_snapshot)
+    // Others have no use for the entry of a host that was never ready.
+    m_was_ready = m_was_ready || is_ready();
+    if (m_has_snapshot && m_was_ready)
         m_registration.publish(m_codec.encode_host(m_directory.self()));
 }
 
@@ -342,7 +344,7 @@
                         boot_now());
     caller_answer answer{.status = status};
     if (status == status_unavailable)
-        answer.retry_after = starting_retry_after;
+        answer.retry_after = starting_refusal_wait(m_mirror.is_failing(), request.request.patience);
     m_ingress.respond(session, answer);
 }
 
@@ -499,13 +501,22 @@
 
 void gateway::reload(const gateway_settings& settings)
 {
+    const bool needs_restart =
+        settings.id != m_settings.id || settings.zone != m_settings.zone ||
+        settings.callers != m_settings.callers || settings.peers != m_settings.peers ||
+        settings.readiness != m_settings.readiness || settings.directory != m_settings.directory ||
+        settings.metrics != m_settings.metrics || settings.store != m_settings.store ||
+        settings.capacity != m_settings.capacity ||
+        settings.retry_window != m_settings.retry_window ||
+        settings.log_level != m_settings.log_level;
     m_settings.retry_ratio = settings.retry_ratio;
     m_settings.retry_slack = settings.retry_slack;
     m_settings.address_validity = settings.address_validity;
     m_settings.stop_within = settings.stop_within;
     m_log.write("reloaded",
                 {{"retry_slack", std::to_string(m_settings.retry_slack)},
-                 {"address_validity_s", std::to_string(m_settings.address_validity.count())}});
+                 {"address_validity_s", std::to_string(m_settings.address_validity.count())},
+                 {"restart_needed", needs_restart ? "true" : "false"}});
     hosts_changed();
 }
 
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -133,6 +133,7 @@
     // Hosts that share connections and extra attempts; 0 while this one is not used.
     std::size_t m_shared_among = 0;
     bool m_has_snapshot = false;
+    bool m_was_ready = false;
     bool m_is_stopping = false;
     time_point m_started;
     time_point m_stop_begun{};
--- /dev/null
+++ b/tanagerspur/gateway/settings_file.hpp
@@ -0,0 +1,39 @@
+// The settings file of the forwarding daemon, read again while it runs. The file may change with
+// or without a signal, so its text is compared with what was read last.
+
+#ifndef TANAGERSPUR_GATEWAY_SETTINGS_FILE_HPP
+#define TANAGERSPUR_GATEWAY_SETTINGS_FILE_HPP
+
+#include "tanagerspur/gateway/settings.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace tanagerspur
+{
+
+using settings_or_error = std::variant<gateway_settings, input_error>;
+
+class settings_file
+{
+public:
+    explicit settings_file(std::string path)
+        : m_path(std::move(path))
+    {
+    }
+
+    // Reads and checks the file.
+    settings_or_error read();
+
+    // Nothing if the file is as it was when it was read last, also if it can't be read.
+    std::optional<settings_or_error> read_if_changed();
+
+private:
+    std::string m_path;
+    std::string m_text;
+};
+
+} // namespace tanagerspur
+
+#endif
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -55,6 +55,8 @@
     void start();
 
     bool is_connected() const { return m_is_connected; }
+    // The last call to the store failed, and it has not answered since.
+    bool is_failing() const { return m_backoff.count() > 0; }
     store_revision as_of() const { return m_log.as_of(); }
     // What has been read, for hosts that follow this one.
     const change_log& log() const { return m_log; }
--- a/tanagerspur/testing/gateway_test.cpp
+++ b/tanagerspur/testing/gateway_test.cpp
@@ -5,13 +5,17 @@
 #include "tanagerspur/forwarding/retry_window.hpp"
 #include "tanagerspur/gateway/host_directory.hpp"
 #include "tanagerspur/gateway/load_meter.hpp"
-#include "tanagerspur/gateway/settings.hpp"
+#include "tanagerspur/gateway/refusal_wait.hpp"
+#include "tanagerspur/gateway/settings_file.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <set>
+#include <unistd.h>
 
 namespace tanagerspur
 {
@@ -87,6 +91,8 @@
     CPPUNIT_TEST(growing_share_is_usable_after_a_window_only);
     CPPUNIT_TEST(late_timers_make_a_host_busy_until_it_is_calm_again);
     CPPUNIT_TEST(settings_name_the_place_of_an_error);
+    CPPUNIT_TEST(changed_settings_are_noticed_without_a_signal);
+    CPPUNIT_TEST(callers_return_late_while_the_store_fails);
     CPPUNIT_TEST(log_values_are_escaped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -256,6 +262,45 @@
         }
     }
 
+    void changed_settings_are_noticed_without_a_signal()
+    {
+        const std::string path =
+            (std::filesystem::temp_directory_path() / ("settings-" + std::to_string(getpid())))
+                .string();
+        const auto write = [&path](const std::string& text) {
+            std::ofstream{path, std::ios::trunc} << text;
+        };
+        std::string text = valid_settings;
+        write(text);
+        settings_file file{path};
+        CPPUNIT_ASSERT(std::holds_alternative<gateway_settings>(file.read()));
+        CPPUNIT_ASSERT(!file.read_if_changed());
+        text.replace(text.find("stop_within_s = 6"), 17, "stop_within_s = 9");
+        write(text);
+        const auto changed = file.read_if_changed();
+        CPPUNIT_ASSERT(changed.has_value());
+        CPPUNIT_ASSERT(std::get<gateway_settings>(*changed).stop_within == std::chrono::seconds{9});
+        CPPUNIT_ASSERT(!file.read_if_changed());
+        // Broken settings are told once; an absent or empty file changes nothing.
+        write(text + "[host]");
+        CPPUNIT_ASSERT(std::holds_alternative<input_error>(*file.read_if_changed()));
+        CPPUNIT_ASSERT(!file.read_if_changed());
+        write("");
+        CPPUNIT_ASSERT(!file.read_if_changed());
+        std::filesystem::remove(path);
+        CPPUNIT_ASSERT(!file.read_if_changed());
+    }
+
+    void callers_return_late_while_the_store_fails()
+    {
+        const duration patience = std::chrono::milliseconds{2'400};
+        const duration calm = starting_refusal_wait(false, patience);
+        CPPUNIT_ASSERT(calm < std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT(starting_refusal_wait(true, patience) == std::chrono::milliseconds{800});
+        CPPUNIT_ASSERT(starting_refusal_wait(true, std::chrono::milliseconds{30}) == calm);
+        CPPUNIT_ASSERT(starting_refusal_wait(true, std::nullopt) > calm);
+    }
+
     void log_values_are_escaped()
     {
         CPPUNIT_ASSERT_EQUAL(std::string{"a-1:b/c"}, escape_value("a-1:b/c"));
