--- a/programs/tanagerspur_gateway.cpp
+++ b/programs/tanagerspur_gateway.cpp
@@ -30,7 +30,7 @@
 using namespace tanagerspur;
 
 // How often the settings file is looked at when no signal comes; changes are due within seconds.
-constexpr auto settings_interval = std::chrono::seconds{1};
+constexpr auto settings_interval = std::chrono::seconds{2};
 
 // SIGTERM and SIGINT stop the daemon; SIGHUP, or a change of the file, reads the settings again.
 class process_watch
--- a/tanagerspur/common/ini.cpp
+++ b/tanagerspur/common/ini.cpp
@@ -5,6 +5,7 @@
 #include <boost/property_tree/ini_parser.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -173,9 +174,13 @@
     std::ifstream file(path, std::ios::binary);
     if (!file)
         return leaf::new_error(input_error{.source = path, .expected = "a readable file"});
-    std::string text(max_ini_bytes + 1, '\0');
-    file.read(text.data(), static_cast<std::streamsize>(text.size()));
-    text.resize(static_cast<std::size_t>(file.gcount()));
+    std::string text;
+    std::array<char, 16 * 1024> chunk{};
+    while (text.size() <= max_ini_bytes && file)
+    {
+        file.read(chunk.data(), chunk.size());
+        text.append(chunk.data(), static_cast<std::size_t>(file.gcount()));
+    }
     if (text.size() > max_ini_bytes)
         return leaf::new_error(input_error{
             .source = path, .expected = "at most " + std::to_string(max_ini_bytes) + " bytes"});
--- a/tanagerspur/gateway/settings_file.hpp
+++ b/tanagerspur/gateway/settings_file.hpp
@@ -1,11 +1,12 @@
 // The settings file of the forwarding daemon, read again while it runs. The file may change with
-// or without a signal, so its text is compared with what was read last.
+// or without a signal, so its time of change and its size are looked at, which costs little.
 
 #ifndef TANAGERSPUR_GATEWAY_SETTINGS_FILE_HPP
 #define TANAGERSPUR_GATEWAY_SETTINGS_FILE_HPP
 
 #include "tanagerspur/gateway/settings.hpp"
 
+#include <filesystem>
 #include <optional>
 #include <string>
 #include <variant>
@@ -30,8 +31,18 @@
     std::optional<settings_or_error> read_if_changed();
 
 private:
+    struct file_state
+    {
+        std::filesystem::file_time_type changed;
+        std::uintmax_t size = 0;
+
+        bool operator==(const file_state&) const = default;
+    };
+
+    std::optional<file_state> look() const;
+
     std::string m_path;
-    std::string m_text;
+    std::optional<file_state> m_read;
 };
 
 } // namespace tanagerspur
