--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -75,6 +75,18 @@
     std::uint64_t turned_away = 0;
 };
 
+// Attempts at one service since the start, for metrics.
+struct service_counters
+{
+    std::uint64_t sent = 0;
+    // Those beyond a request's first.
+    std::uint64_t extra = 0;
+    std::uint64_t succeeded = 0;
+    std::uint64_t refused = 0;
+    // Lost, or answered with an error of the replica's own.
+    std::uint64_t failed = 0;
+};
+
 // One attempt to send.
 struct attempt_order
 {
@@ -168,6 +180,9 @@
     // Legs that wait for a free connection.
     std::size_t waiting() const;
     const forwarder_counters& counters() const { return m_counters; }
+    std::map<service_id, service_counters> service_counts() const;
+    // Extra attempts that this host may still send to the service now.
+    double budget_left(const service_id& service, time_point now) const;
 
     // Latency that is usual on a route, and the wait before a second attempt.
     duration usual_latency(const route& on);
@@ -237,7 +252,15 @@
     };
 
     route_latency& latency_of(const route& on);
-    retry_window& budget_of(const service_id& service);
+    // What is kept of a service.
+    struct service_state
+    {
+        retry_window budget;
+        service_counters counts;
+    };
+
+    service_state& state_of(const service_id& service);
+    void count_end(const service_id& service, const attempt_outcome& outcome);
     std::size_t needed_parts(const exchange& of) const;
 
     enum class attempt_kind
@@ -290,7 +313,7 @@
     split_picker m_splits;
     std::mt19937_64 m_random;
     std::map<std::string, route_latency> m_latencies;
-    std::map<service_id, retry_window> m_budgets;
+    std::map<service_id, service_state> m_services;
     slack_share m_slack;
     std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::unordered_map<std::uint64_t, attempt> m_attempts;
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -389,6 +389,7 @@
     CPPUNIT_TEST(partial_answer_comes_in_time_for_the_objective);
     CPPUNIT_TEST(lost_request_that_may_have_run_is_not_refused);
     CPPUNIT_TEST(request_that_never_left_is_refused_at_its_deadline);
+    CPPUNIT_TEST(attempts_are_counted_by_service);
     CPPUNIT_TEST(caller_that_leaves_ends_idempotent_attempts_only);
     CPPUNIT_TEST(hedges_leave_the_last_tokens_to_failures);
     CPPUNIT_TEST(burst_waits_for_free_connections_by_urgency);
@@ -509,6 +510,24 @@
         CPPUNIT_ASSERT_EQUAL(504, at.m_traces[sent].answers.at(0).status);
     }
 
+    void attempts_are_counted_by_service()
+    {
+        world at;
+        at.begin(route_kind::idempotent);
+        at.end(at.open_attempts().at(0), attempt_result::refused);
+        at.end(at.open_attempts().at(0), attempt_result::answered);
+        at.begin(route_kind::at_most_once);
+        at.end(at.open_attempts().at(0), attempt_result::answered, 500);
+        const service_counters counts = at.m_forwarder.service_counts().at(shard(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, counts.sent);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counts.extra);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counts.refused);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counts.succeeded);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counts.failed);
+        // Slack of 3 and two requests at a ratio of 0.17, less one extra attempt.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.34, at.m_forwarder.budget_left(shard(0), at.m_now), 1e-9);
+    }
+
     void caller_that_leaves_ends_idempotent_attempts_only()
     {
         world at;
--- a/tanagerspur/testing/gateway_test.cpp
+++ b/tanagerspur/testing/gateway_test.cpp
@@ -2,6 +2,7 @@
 // settings and log lines of the daemon.
 
 #include "tanagerspur/common/event_log.hpp"
+#include "tanagerspur/common/text.hpp"
 #include "tanagerspur/forwarding/retry_window.hpp"
 #include "tanagerspur/gateway/host_directory.hpp"
 #include "tanagerspur/gateway/load_meter.hpp"
@@ -306,6 +307,7 @@
     {
         CPPUNIT_ASSERT_EQUAL(std::string{"a-1:b/c"}, escape_value("a-1:b/c"));
         CPPUNIT_ASSERT_EQUAL(std::string{"\"\""}, escape_value(""));
+        CPPUNIT_ASSERT_EQUAL(std::string{"a\\\"b\\\\\\n"}, escape_label("a\"b\\\n"));
         CPPUNIT_ASSERT_EQUAL(std::string{"\"a b=\\\"c\\\"\\n\""}, escape_value("a b=\"c\"\n"));
     }
 };
