--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -19,8 +19,9 @@
 // on how many share them, and requests that never arrived here don't count.
 constexpr double retry_ratio_share = 0.9;
 constexpr double retry_slack_share = 0.7;
-// After SIGTERM new connections are taken for this long: callers keep addresses a while.
-constexpr duration accept_while_stopping = std::chrono::milliseconds{3'500};
+// After SIGTERM new connections are taken for longer than callers keep addresses by this time, for
+// answers about addresses that were on their way.
+constexpr duration address_margin = std::chrono::milliseconds{500};
 // Left of the time to stop when the last requests are ended.
 constexpr duration stop_margin = std::chrono::milliseconds{1'000};
 // Time that the entries of other hosts are kept after they vanished around an outage.
@@ -483,10 +484,13 @@
 {
     const duration since = now - m_stop_begun;
     const bool is_quiet = m_forwarder.under_way() == 0 && m_ingress.busy_sessions() == 0;
-    const bool is_over = since >= m_settings.stop_within - stop_margin;
-    if (since >= accept_while_stopping)
+    const duration longest = m_settings.stop_within - stop_margin;
+    const bool is_over = since >= longest;
+    const duration accepting =
+        std::min<duration>(m_settings.address_validity + address_margin, longest);
+    if (since >= accepting)
         m_ingress.stop();
-    if (!is_over && (!is_quiet || since < accept_while_stopping))
+    if (!is_over && (!is_quiet || since < accepting))
         return;
     if (m_stopped == nullptr)
         return;
--- a/tanagerspur/gateway/settings.cpp
+++ b/tanagerspur/gateway/settings.cpp
@@ -62,7 +62,7 @@
                                     {.min = 1, .max = 3'600, .unit = "seconds", .fallback = 6}));
     BOOST_LEAF_AUTO(validity,
                     section.integer("address_validity_s",
-                                    {.min = 1, .max = 3'600, .unit = "seconds", .fallback = 2}));
+                                    {.min = 1, .max = 3'600, .unit = "seconds", .fallback = 4}));
     settings.stop_within = std::chrono::seconds{stop};
     settings.address_validity = std::chrono::seconds{validity};
     return {};
--- a/tanagerspur/gateway/settings.hpp
+++ b/tanagerspur/gateway/settings.hpp
@@ -34,8 +34,9 @@
     duration retry_window = std::chrono::seconds{10};
     // Longest time from SIGTERM to the end of the process.
     std::chrono::seconds stop_within{6};
-    // How long callers may keep an answer about addresses.
-    std::chrono::seconds address_validity{2};
+    // How long callers may keep an answer about addresses. A look-up delays the request that needs
+    // it; a host that stops takes callers for as long.
+    std::chrono::seconds address_validity{4};
     std::string log_level = "info";
 };
 
