--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -15,6 +15,21 @@
 constexpr double max_hedge_share = 0.45;
 constexpr double coverage_rounding = 1e-9;
 
+// As it stands in log lines.
+std::string_view to_cause(shard_prospect of)
+{
+    switch (of)
+    {
+    case shard_prospect::too_busy:
+        return "overloaded";
+    case shard_prospect::no_replica:
+        return "no_replica";
+    case shard_prospect::in_time:
+        break;
+    }
+    return cause_not_asked;
+}
+
 } // namespace
 
 forwarder::forwarder(const forwarder_options& options, replica_registry& registry,
@@ -133,12 +148,12 @@
     wanted.shards.reserve(of.legs.size());
     for (const leg& each : of.legs)
         wanted.shards.push_back(&m_registry.of_service(each.service));
-    const admission judged = m_admission.judge(wanted, now);
-    if (judged == admission::admitted)
+    const admission_verdict judged = m_admission.judge(wanted, now);
+    if (judged.outcome == admission::admitted)
         return;
     ++m_counters.turned_away;
-    for (leg& each : of.legs)
-        fail_leg(each, judged == admission::overloaded ? "overloaded" : "no_replica");
+    for (std::size_t i = 0; i < of.legs.size(); ++i)
+        fail_leg(of.legs[i], to_cause(judged.shards[i]));
 }
 
 void forwarder::send_first(exchange& of, std::size_t leg_index, time_point now)
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -56,6 +56,10 @@
     double first_usual_share = 0.25;
 };
 
+// Cause of a shard that could have answered a scatter that was turned away; it is left out of the
+// shards that are named as missing.
+inline constexpr std::string_view cause_not_asked = "not_asked";
+
 // Counts since the start, for metrics.
 struct forwarder_counters
 {
--- a/tanagerspur/forwarding/forwarder_answers.cpp
+++ b/tanagerspur/forwarding/forwarder_answers.cpp
@@ -76,7 +76,7 @@
     for (const leg& each : of.legs)
     {
         done += each.now == leg::state::done ? 1 : 0;
-        if (each.now == leg::state::failed)
+        if (each.now == leg::state::failed && each.cause != cause_not_asked)
             failed = &each;
     }
     if (of.on->scatter && done >= needed_parts(of))
@@ -151,7 +151,7 @@
         left.insert(left.end(), each.under_way.begin(), each.under_way.end());
         if (each.now == leg::state::done)
             ++summary.parts;
-        else
+        else if (each.cause != cause_not_asked)
             summary.missing += (summary.missing.empty() ? "" : ",") + each.service.value() + ":" +
                                std::string{each.cause};
     }
--- a/tanagerspur/forwarding/scatter_admission.cpp
+++ b/tanagerspur/forwarding/scatter_admission.cpp
@@ -1,5 +1,7 @@
 #include "tanagerspur/forwarding/scatter_admission.hpp"
 
+#include <algorithm>
+
 namespace tanagerspur
 {
 
@@ -20,36 +22,39 @@
            expected <= m_options.lateness * objective;
 }
 
-scatter_admission::prospect scatter_admission::prospect_of(const std::vector<replica_ref>& replicas,
-                                                           const admission_request& request,
-                                                           time_point now) const
+shard_prospect scatter_admission::prospect_of(const std::vector<replica_ref>& replicas,
+                                              const admission_request& request,
+                                              time_point now) const
 {
-    prospect best = prospect::no_replica;
+    shard_prospect best = shard_prospect::no_replica;
     for (const replica_ref& each : replicas)
     {
         if (!each->estimate.is_reachable(now))
             continue;
         if (is_soon_enough(*each, request, now))
-            return prospect::in_time;
-        best = prospect::too_busy;
+            return shard_prospect::in_time;
+        best = shard_prospect::too_busy;
     }
     return best;
 }
 
-admission scatter_admission::judge(const admission_request& request, time_point now) const
+admission_verdict scatter_admission::judge(const admission_request& request, time_point now) const
 {
-    const std::size_t spare = request.shards.size() - request.needed;
-    std::size_t busy = 0;
-    std::size_t absent = 0;
+    admission_verdict verdict;
+    verdict.shards.reserve(request.shards.size());
     for (const std::vector<replica_ref>* each : request.shards)
-    {
-        const prospect of = prospect_of(*each, request, now);
-        busy += of == prospect::too_busy ? 1 : 0;
-        absent += of == prospect::no_replica ? 1 : 0;
-    }
+        verdict.shards.push_back(prospect_of(*each, request, now));
+    const auto count = [&verdict](shard_prospect of) {
+        return static_cast<std::size_t>(
+            std::count(verdict.shards.begin(), verdict.shards.end(), of));
+    };
+    const std::size_t spare = request.shards.size() - request.needed;
+    const std::size_t absent = count(shard_prospect::no_replica);
     if (absent > spare)
-        return admission::no_replica;
-    return absent + busy > spare ? admission::overloaded : admission::admitted;
+        verdict.outcome = admission::no_replica;
+    else if (absent + count(shard_prospect::too_busy) > spare)
+        verdict.outcome = admission::overloaded;
+    return verdict;
 }
 
 } // namespace tanagerspur
--- a/tanagerspur/forwarding/scatter_admission.hpp
+++ b/tanagerspur/forwarding/scatter_admission.hpp
@@ -47,6 +47,20 @@
     overloaded  // too many shards are too busy
 };
 
+enum class shard_prospect
+{
+    in_time,
+    too_busy,
+    no_replica
+};
+
+struct admission_verdict
+{
+    admission outcome = admission::admitted;
+    // In the order of the request's shards.
+    std::vector<shard_prospect> shards;
+};
+
 class scatter_admission
 {
 public:
@@ -55,18 +69,11 @@
     {
     }
 
-    admission judge(const admission_request& request, time_point now) const;
+    admission_verdict judge(const admission_request& request, time_point now) const;
 
 private:
-    enum class prospect
-    {
-        in_time,
-        too_busy,
-        no_replica
-    };
-
-    prospect prospect_of(const std::vector<replica_ref>& replicas, const admission_request& request,
-                         time_point now) const;
+    shard_prospect prospect_of(const std::vector<replica_ref>& replicas,
+                               const admission_request& request, time_point now) const;
     bool is_soon_enough(const replica& candidate, const admission_request& request,
                         time_point now) const;
 
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -250,7 +250,12 @@
     {
         m_wakes[exchange.value()] = when;
     }
-    void finished(const exchange_summary& summary) override { m_wakes.erase(summary.id.value()); }
+    void finished(const exchange_summary& summary) override
+    {
+        m_wakes.erase(summary.id.value());
+        m_last_cause = summary.cause;
+        m_last_missing = summary.missing;
+    }
 
     bool did_not_run(std::uint64_t attempt) const
     {
@@ -275,6 +280,9 @@
     std::set<std::uint64_t> m_ending;
     std::uint64_t m_next_request = 1;
     std::map<service_id, std::vector<time_point>> m_asked;
+    // Of the request that ended last.
+    std::string m_last_cause;
+    std::string m_last_missing;
 
 private:
     void replica_added(const replica&) override {}
@@ -455,6 +463,9 @@
         CPPUNIT_ASSERT(at.m_sent.empty());
         CPPUNIT_ASSERT_EQUAL(503, at.m_traces[request].answers.at(0).status);
         CPPUNIT_ASSERT(at.m_traces[request].answers.at(0).retry_after.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"no_replica"}, at.m_last_cause);
+        CPPUNIT_ASSERT_EQUAL(std::string{"shard-0:no_replica,shard-1:no_replica"},
+                             at.m_last_missing);
     }
 
     void paused_replica_is_hedged_before_the_objective()
--- a/tanagerspur/testing/scatter_admission_test.cpp
+++ b/tanagerspur/testing/scatter_admission_test.cpp
@@ -81,9 +81,9 @@
                                  .usual = usual,
                                  .objective_left = objective,
                                  .time_left = std::chrono::milliseconds{400}};
-        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()) == admission::admitted);
+        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()).outcome == admission::admitted);
         wanted.time_left = std::chrono::milliseconds{4};
-        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()) == admission::overloaded);
+        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()).outcome == admission::overloaded);
     }
 
 private:
@@ -108,7 +108,7 @@
         const admission expected = idle >= needed          ? admission::admitted
                                    : idle + busy >= needed ? admission::overloaded
                                                            : admission::no_replica;
-        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()) == expected);
+        CPPUNIT_ASSERT(scatter_admission{}.judge(wanted, now()).outcome == expected);
     }
 };
 
