--- a/tanagerspur/store/relay_server.cpp
+++ b/tanagerspur/store/relay_server.cpp
@@ -83,9 +83,13 @@
     if (m_is_connected == is_connected)
         return;
     m_is_connected = is_connected;
-    m_unsettled_until = now + unsettled_time;
     if (is_connected)
+    {
+        if (m_has_lost)
+            m_unsettled_until = now + unsettled_time;
         return;
+    }
+    m_has_lost = true;
     for (auto& [token, each] : m_waiting)
         each.respond(reply_to(each.after, now));
     m_waiting.clear();
--- a/tanagerspur/store/relay_server.hpp
+++ b/tanagerspur/store/relay_server.hpp
@@ -49,6 +49,8 @@
     const change_log& m_log;
     std::map<std::uint64_t, follower> m_waiting;
     bool m_is_connected = false;
+    // The first connection after a start follows no loss.
+    bool m_has_lost = false;
     time_point m_unsettled_until{};
 };
 
--- a/tanagerspur/store/store_mirror.cpp
+++ b/tanagerspur/store/store_mirror.cpp
@@ -104,8 +104,10 @@
         lost();
         return retry([this] { watch(probe_wait); });
     }
-    if (list.is_unsettled)
+    // A source tells the same loss for a while, so that all who follow it hear of it.
+    if (list.is_unsettled && !m_was_unsettled)
         lost();
+    m_was_unsettled = list.is_unsettled;
     regained();
     for (const store_change& each : list.changes)
     {
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -83,6 +83,8 @@
     bool m_is_first_page = true;
     bool m_may_be_stale = true;
     bool m_is_connected = false;
+    // The last list of changes told of a loss.
+    bool m_was_unsettled = false;
     // Revision of the first page of a full read.
     store_revision m_loading_as_of;
     change_log m_log;
--- a/tanagerspur/testing/mirror_test.cpp
+++ b/tanagerspur/testing/mirror_test.cpp
@@ -91,6 +91,8 @@
     CPPUNIT_TEST(outage_is_told_before_the_changes_that_follow_it);
     CPPUNIT_TEST(change_log_gives_followers_what_they_lack);
     CPPUNIT_TEST(followers_hear_changes_and_losses_from_a_reader);
+    CPPUNIT_TEST(reader_that_starts_has_not_lost_the_store);
+    CPPUNIT_TEST(loss_that_a_reader_tells_counts_once);
     CPPUNIT_TEST(follower_turns_to_the_store_when_its_reader_has_lost_it);
     CPPUNIT_TEST(failed_store_is_not_asked_by_all_again_and_again);
     CPPUNIT_TEST(readers_are_few_large_and_in_different_zones);
@@ -230,6 +232,43 @@
         CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_lost >= 1; }));
     }
 
+    // Followers keep vanished entries for a while after a loss; a reader's start is none.
+    void reader_that_starts_has_not_lost_the_store()
+    {
+        change_log log;
+        log.replace_all({}, store_revision{1});
+        relay_server relay{log};
+        const time_point now = boot_now();
+        relay.set_connected(true, now);
+        CPPUNIT_ASSERT(!is_unsettled(relay));
+        relay.set_connected(false, now);
+        relay.set_connected(true, now);
+        CPPUNIT_ASSERT(is_unsettled(relay));
+        relay.set_connected(true, now);
+        CPPUNIT_ASSERT(is_unsettled(relay));
+    }
+
+    // Each loss that is told begins the time anew in which vanished entries are kept.
+    void loss_that_a_reader_tells_counts_once()
+    {
+        reader_host reader(*m_io, *m_store);
+        relayed_store relayed(*m_io, *m_store, {.call_timeout = std::chrono::milliseconds{200}});
+        relayed.set_readers({reader.candidate()});
+        believer told;
+        store_mirror follower(*m_io, relayed, fast_options(), told);
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return reader.told.m_regained == 1; }));
+        reader.relay.set_connected(false, boot_now());
+        reader.relay.set_connected(true, boot_now());
+        follower.start();
+        for (const char* key : {"a", "b", "c", "d"})
+        {
+            m_store->set(key, "1");
+            CPPUNIT_ASSERT(run_until(*m_io, [&] { return told.m_keys.contains(key); }));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, told.m_lost);
+        CPPUNIT_ASSERT(follower.is_connected());
+    }
+
     void follower_turns_to_the_store_when_its_reader_has_lost_it()
     {
         std::optional<reader_host> reader{std::in_place, *m_io, *m_store};
@@ -315,6 +354,15 @@
     }
 
 private:
+    static bool is_unsettled(relay_server& relay)
+    {
+        bool seen = false;
+        relay.handle(make_relay_call(store_revision{1}, duration{0}), 1,
+                     [&seen](const http_reply& reply)
+                     { seen = decode_relay_answer(reply).is_unsettled; });
+        return seen;
+    }
+
     // A host that reads the store and relays it.
     struct reader_host
     {
