--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -509,8 +509,8 @@
         settings.metrics != m_settings.metrics || settings.store != m_settings.store ||
         settings.capacity != m_settings.capacity ||
         settings.retry_window != m_settings.retry_window ||
+        settings.retry_ratio != m_settings.retry_ratio ||
         settings.log_level != m_settings.log_level;
-    m_settings.retry_ratio = settings.retry_ratio;
     m_settings.retry_slack = settings.retry_slack;
     m_settings.address_validity = settings.address_validity;
     m_settings.stop_within = settings.stop_within;
