--- a/tanagerspur/common/ini.cpp
+++ b/tanagerspur/common/ini.cpp
@@ -175,7 +175,7 @@
     if (!file)
         return leaf::new_error(input_error{.source = path, .expected = "a readable file"});
     std::string text;
-    std::array<char, 16 * 1024> chunk{};
+    std::array<char, 16'384> chunk{};
     while (text.size() <= max_ini_bytes && file)
     {
         file.read(chunk.data(), chunk.size());
