--- a/programs/tanagerspur_soak.cpp
+++ b/programs/tanagerspur_soak.cpp
@@ -9,13 +9,15 @@
 #include <csignal>
 #include <filesystem>
 #include <iostream>
+#include <unistd.h>
 
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_int32(seeds, 1, "number of seeds, one after the other");
 DEFINE_int32(seconds, 16, "length of a run; the last 8 seconds are without faults");
 DEFINE_int32(hosts, 4, "hosts");
 DEFINE_int32(callers, 12, "callers");
-DEFINE_int32(port, 24000, "first of the ports that are used");
+DEFINE_int32(port, 24000,
+             "first of the ports that are used; below those that the system gives out itself");
 DEFINE_string(program, "build/tanagerspur_gateway", "the daemon");
 DEFINE_string(folder, "", "folder for settings and logs; a new one under /tmp by default");
 
@@ -38,8 +40,10 @@
 
 bool run(std::uint64_t seed)
 {
-    const std::string folder = (FLAGS_folder.empty() ? "/tmp/tanagerspur_soak" : FLAGS_folder) +
-                               "/" + std::to_string(seed);
+    const std::string folder =
+        (FLAGS_folder.empty() ? "/tmp/tanagerspur_soak-" + std::to_string(getpid())
+                              : FLAGS_folder) +
+        "/" + std::to_string(seed);
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     soak_world world({.seed = seed,
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -452,6 +452,7 @@
 void gateway::tick()
 {
     const time_point now = boot_now();
+    m_pauses.timer_fired(m_tick_due, now);
     m_registry.tick(now);
     m_pool.tick(now);
     m_ingress.tick(now);
@@ -471,9 +472,11 @@
 {
     if (m_is_stopping)
         return;
-    m_log.write("stopping", {{"under_way", number_text(m_forwarder.under_way())}});
+    const time_point now = boot_now();
     m_is_stopping = true;
-    m_stop_begun = boot_now();
+    m_stop_begun = m_pauses.signal_sent(now, m_tick_due);
+    m_log.write("stopping", {{"under_way", number_text(m_forwarder.under_way())},
+                             {"paused_ms", std::to_string((now - m_stop_begun).count() / 1000)}});
     m_stopped = std::move(stopped);
     m_ingress.close_after_answers();
     publish_self();
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -14,6 +14,7 @@
 #include "tanagerspur/forwarding/forwarder.hpp"
 #include "tanagerspur/gateway/host_directory.hpp"
 #include "tanagerspur/gateway/load_meter.hpp"
+#include "tanagerspur/gateway/pause_watch.hpp"
 #include "tanagerspur/gateway/settings.hpp"
 #include "tanagerspur/net/http_server.hpp"
 #include "tanagerspur/net/ingress_server.hpp"
@@ -128,6 +129,7 @@
     relay_server m_relay;
     http_server m_relay_http;
     load_meter m_load;
+    pause_watch m_pauses;
     bool m_is_busy = false;
     std::shared_ptr<const route_table> m_table;
     std::unordered_map<std::uint64_t, std::unique_ptr<boost::asio::steady_timer>> m_timers;
--- a/tanagerspur/testing/gateway_test.cpp
+++ b/tanagerspur/testing/gateway_test.cpp
@@ -6,6 +6,7 @@
 #include "tanagerspur/gateway/host_directory.hpp"
 #include "tanagerspur/gateway/load_meter.hpp"
 #include "tanagerspur/gateway/metrics_text.hpp"
+#include "tanagerspur/gateway/pause_watch.hpp"
 #include "tanagerspur/gateway/refusal_wait.hpp"
 #include "tanagerspur/gateway/settings_file.hpp"
 
@@ -91,6 +92,7 @@
     CPPUNIT_TEST(window_never_holds_more_than_is_allowed);
     CPPUNIT_TEST(growing_share_is_usable_after_a_window_only);
     CPPUNIT_TEST(late_timers_make_a_host_busy_until_it_is_calm_again);
+    CPPUNIT_TEST(time_to_stop_counts_from_before_a_pause);
     CPPUNIT_TEST(settings_name_the_place_of_an_error);
     CPPUNIT_TEST(changed_settings_are_noticed_without_a_signal);
     CPPUNIT_TEST(callers_return_late_while_the_store_fails);
@@ -247,6 +249,23 @@
         CPPUNIT_ASSERT(!meter.is_busy());
     }
 
+    void time_to_stop_counts_from_before_a_pause()
+    {
+        pause_watch pauses;
+        pauses.timer_fired(at_ms(0), at_ms(2));
+        CPPUNIT_ASSERT(pauses.signal_sent(at_ms(30), at_ms(50)) == at_ms(30));
+        // The signal is handled before the timer that is long due, or after it.
+        CPPUNIT_ASSERT(pauses.signal_sent(at_ms(2'500), at_ms(50)) == at_ms(50));
+        pauses.timer_fired(at_ms(50), at_ms(2'500));
+        CPPUNIT_ASSERT(pauses.signal_sent(at_ms(2'501), at_ms(2'550)) == at_ms(50));
+        pauses.timer_fired(at_ms(2'550), at_ms(2'551));
+        CPPUNIT_ASSERT(pauses.signal_sent(at_ms(2'600), at_ms(2'601)) == at_ms(50));
+        CPPUNIT_ASSERT(pauses.signal_sent(at_ms(2'800), at_ms(2'801)) == at_ms(2'800));
+        // A busy host's timers are late, but it does not stand still.
+        pauses.timer_fired(at_ms(3'000), at_ms(3'040));
+        CPPUNIT_ASSERT(pauses.signal_sent(at_ms(3'045), at_ms(3'090)) == at_ms(3'045));
+    }
+
     void settings_name_the_place_of_an_error()
     {
         CPPUNIT_ASSERT_EQUAL(std::string{}, settings_error(valid_settings));
