--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -128,6 +128,9 @@
     std::uint32_t extra_attempts = 0;
     // Missing shards, each with its latest cause, for example "desk-3:no_replica".
     std::string missing;
+    // The part that arrived last: its shard, and when it arrived, from the start of the exchange.
+    service_id last_part;
+    duration last_part_after{0};
 };
 
 // A failed or extra attempt, for logs.
@@ -242,6 +245,7 @@
         bool may_have_run = false;
         std::string_view cause = "pending";
         std::optional<replica_answer> answer;
+        time_point answered_at{};
     };
     struct exchange
     {
--- a/tanagerspur/forwarding/forwarder_answers.cpp
+++ b/tanagerspur/forwarding/forwarder_answers.cpp
@@ -166,7 +166,14 @@
         remaining.insert(remaining.end(), each.attempts_in_flight.begin(),
                          each.attempts_in_flight.end());
         if (each.current_state == leg::state::done)
+        {
             ++summary.parts;
+            if (each.answered_at - current.begun >= summary.last_part_after)
+            {
+                summary.last_part = each.service;
+                summary.last_part_after = each.answered_at - current.begun;
+            }
+        }
         else if (each.cause != cause_not_asked)
             summary.missing += (summary.missing.empty() ? "" : ",") + each.service.value() + ":" +
                                std::string{each.cause};
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -135,6 +135,7 @@
         current_leg.answer = std::move(outcome.answer);
         current_leg.current_state = leg::state::done;
         current_leg.cause = "answered";
+        current_leg.answered_at = now;
         return;
     }
     if (outcome.result == attempt_result::not_sent)
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -206,10 +206,14 @@
          {"status", std::to_string(summary.status)},
          {"cause", std::string{summary.cause}},
          {"ms", std::to_string(summary.took.count() / 1000)},
+         {"objective_ms", std::to_string(summary.matched_route->latency_objective.count() / 1000)},
          {"parts", std::to_string(summary.parts) + "/" + std::to_string(summary.expected_parts)},
          {"attempts", std::to_string(summary.attempts)},
          {"extra", std::to_string(summary.extra_attempts)},
          {"missing", summary.missing.empty() ? "-" : summary.missing},
+         {"last", summary.parts == 0 ? "-"
+                                     : summary.last_part.value() + ":" +
+                                           std::to_string(summary.last_part_after.count() / 1000)},
          {"store", m_mirror.is_connected() ? "connected" : "lost"}},
         boot_now());
 }
