A brief loss of the store does not extend the grace period of missing replicas

The replica was the last of its shard after a reshard, so its removed entry was kept for 2.2 s; at 19.19 s the host changed its reader, which counts as a loss of the store of no duration, and all missing entries were kept for another 2.2 s. The fault is older than either variant: any reader that is cut off within 2.2 s of the end of a shard can show it.

Change: entries keep the end of their own grace period; only a loss of a second or more, in which a lease can lapse, extends it. registry_test::brief_loss_of_store_does_not_extend_grace_period fails before.

--- a/tanagerspur/registry/replica_registry.cpp
+++ b/tanagerspur/registry/replica_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace tanagerspur
 {
@@ -113,21 +114,29 @@
         put(each, now);
 }
 
-void replica_registry::store_lost(time_point /*now*/)
+void replica_registry::store_lost(time_point now)
 {
-    m_store_lost = true;
+    if (!std::exchange(m_store_lost, true))
+        m_lost_at = now;
 }
 
+// A host that switches to another reader loses the store for a moment. Without the exception for
+// brief losses, a drained replica that was the last of its service would be used for a second grace
+// period.
 void replica_registry::store_regained(time_point now)
 {
-    if (m_store_lost)
-        m_grace_end = now + m_options.return_grace;
-    m_store_lost = false;
+    if (!std::exchange(m_store_lost, false))
+        return;
+    m_grace_end = now + m_options.return_grace;
+    if (now - m_lost_at < m_options.brief_loss)
+        return;
+    for (auto& [id, end] : m_missing)
+        end = std::max(end, m_grace_end);
 }
 
 void replica_registry::tick(time_point now)
 {
-    if (m_missing.empty() || is_in_grace_period(now))
+    if (m_missing.empty() || m_store_lost)
         return;
     std::vector<replica_id> expired_ids;
     for (const auto& [id, end] : m_missing)
--- a/tanagerspur/registry/replica_registry.hpp
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -58,6 +58,9 @@
 {
     // Grace period for missing entries after the store is available again.
     duration return_grace = std::chrono::milliseconds{2'200};
+    // A loss of the store shorter than this does not extend the grace period of entries that were
+    // missing before: it is shorter than any lease, so live replicas have registered again.
+    duration brief_loss = std::chrono::seconds{1};
 };
 
 // Why a replica left the registry; for logs.
@@ -121,6 +124,7 @@
     // ignored.
     std::map<replica_id, std::uint64_t> m_started_ms;
     bool m_store_lost = false;
+    time_point m_lost_at{};
     time_point m_grace_end{};
     std::uint64_t m_next_number = 1;
 };
--- a/tanagerspur/testing/registry_test.cpp
+++ b/tanagerspur/testing/registry_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(stops_using_draining_replica_immediately);
     CPPUNIT_TEST(drops_removed_replica_immediately_if_others_remain);
     CPPUNIT_TEST(keeps_last_replica_for_grace_period_only);
+    CPPUNIT_TEST(brief_loss_of_store_does_not_extend_grace_period);
     CPPUNIT_TEST(keeps_missing_entries_for_grace_period_after_outage);
     CPPUNIT_TEST(restart_under_same_id_resets_estimate);
     CPPUNIT_TEST(ignores_late_write_of_earlier_incarnation);
@@ -101,6 +102,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
     }
 
+    // The last replica of a service drains and its entry is removed; before its grace period ends,
+    // the host changes the reader through which it follows the store.
+    void brief_loss_of_store_does_not_extend_grace_period()
+    {
+        m_registry->put(make_record("x"), at_ms(0));
+        m_registry->remove(replica_id{"x"}, at_ms(1));
+        m_registry->store_lost(at_ms(2'100));
+        m_registry->store_regained(at_ms(2'100));
+        m_registry->tick(at_ms(2'202));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        // An outage during which entries can lapse does extend it.
+        m_registry->put(make_record("y"), at_ms(3'000));
+        m_registry->remove(replica_id{"y"}, at_ms(3'001));
+        m_registry->store_lost(at_ms(3'500));
+        m_registry->store_regained(at_ms(5'500));
+        m_registry->tick(at_ms(7'600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        m_registry->tick(at_ms(7'701));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+    }
+
     void keeps_missing_entries_for_grace_period_after_outage()
     {
         for (const char* id : {"x", "y", "z"})
