--- a/bench/experiment/worth_plot.cpp
+++ b/bench/experiment/worth_plot.cpp
@@ -59,9 +59,12 @@
                 mapper.text(point{-label_width + 20, y}, each.variant, "font-size:11px");
                 const line interval{{(each.mean - each.half_interval) * worth_scale, y},
                                     {(each.mean + each.half_interval) * worth_scale, y}};
-                mapper.map(interval, "stroke-width:3;stroke:" + colour);
-                mapper.map(point{each.mean * worth_scale, y},
-                           "fill:" + colour + ";stroke:" + colour, 4);
+                std::string interval_style = "stroke-width:3;stroke:";
+                interval_style.append(colour);
+                std::string point_style = "fill:";
+                point_style.append(colour);
+                mapper.map(interval, interval_style);
+                mapper.map(point{each.mean * worth_scale, y}, point_style, 4);
             }
         }
     }
