Experiment: prices by the weights of each site; wording of the account and of brief losses

Cause: prices were taken off the parts with the weights of one site, and two comments did not say what they count.

--- a/bench/experiment/experiment.cpp
+++ b/bench/experiment/experiment.cpp
@@ -122,15 +122,6 @@
                to_string(made.result(better_if)));
 }
 
-double prices_of(const play_result& play)
-{
-    constexpr double day_weight = 0.35;
-    constexpr double window_weight = 0.5;
-    constexpr double kind_weight = 0.15;
-    return day_weight * play.whole_day + window_weight * play.worst_windows +
-           kind_weight * play.worst_kind - play.worth;
-}
-
 void print_details(const std::vector<std::pair<play_result, play_result>>& pairs)
 {
     print_row("whole day", compare_by(pairs, [](const auto& each) { return each.whole_day; }));
@@ -198,7 +189,7 @@
     std::ifstream file(log);
     const std::vector<host_log_line> lines = read_host_logs(file);
     fmt::print("{} {} {} seed {}: worth {:.3f}, prices {:.3f}{}\n", variant, key.site, key.day,
-               key.seed, play.worth, prices_of(play), lines.empty() ? ", no log lines" : "");
+               key.seed, play.worth, play.prices, lines.empty() ? ", no log lines" : "");
     for (const window_account& each : account_losses(play, lines, FLAGS_worth_limit))
     {
         const request_counts& counts = each.of.requests;
--- a/bench/experiment/loss_account.cpp
+++ b/bench/experiment/loss_account.cpp
@@ -29,10 +29,11 @@
     return windows[next].start_s - windows[before].start_s;
 }
 
-// Time of the window, after the last line before it or within it, until a host starts, if all hosts
-// were down: between two lines of any host that are further apart than a request's usual gap.
+// Time of the window in which no host ran. While all hosts are down there are no log lines, so this
+// is the sum of the gaps that end with the start of a host.
 double time_without_hosts(const std::vector<host_log_line>& lines, double start_s, double length_s)
 {
+    // Hosts that start one after the other write their lines less than this apart.
     constexpr double min_outage_s = 0.2;
     double down_s = 0;
     double before = start_s;
--- a/bench/experiment/loss_account.hpp
+++ b/bench/experiment/loss_account.hpp
@@ -19,8 +19,7 @@
     // Number of log lines by cause: "refused overloaded", "late, last desk-3", "missing desk-3
     // pending", "failed deadline".
     std::map<std::string, std::size_t> causes;
-    // Share of the window's worth that no policy can earn because no host was running, estimated
-    // from the time without hosts.
+    // Share of the window in which no host ran, so that no policy can earn its worth.
     double lost_without_hosts = 0;
 };
 
--- a/bench/experiment/play.hpp
+++ b/bench/experiment/play.hpp
@@ -38,6 +38,8 @@
     double whole_day = 0;
     double worst_windows = 0;
     double worst_kind = 0;
+    // What is taken off the weighted sum of the three parts.
+    double prices = 0;
     request_counts requests;
     std::vector<window> windows;
     std::size_t broken_rules = 0;
--- a/tanagerspur/registry/replica_registry.hpp
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -59,7 +59,7 @@
     // Grace period for missing entries after the store is available again.
     duration return_grace = std::chrono::milliseconds{2'200};
     // A loss of the store shorter than this does not extend the grace period of entries that were
-    // missing before: it is shorter than any lease, so live replicas have registered again.
+    // missing before: it is shorter than any lease, so no entry can have lapsed because of it.
     duration brief_loss = std::chrono::seconds{1};
 };
 
--- a/tanagerspur/testing/experiment_test.cpp
+++ b/tanagerspur/testing/experiment_test.cpp
@@ -85,6 +85,8 @@
         CPPUNIT_ASSERT(result.has_value());
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.61, result->worth, 1e-12);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, result->worst_windows, 1e-12);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.35 * 0.95 + 0.5 * 0.6 + 0.15 * 0.9 - 0.61, result->prices,
+                                     1e-9);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{850}, result->requests.within_objective);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result->windows.size());
         CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, result->windows[1].start_s, 1e-12);
