http_server_test: one listening server with its callers for both tests of a stop

Cause: both tests of a planned stop set up the same server, handler and callers in the same eight lines.

Ruled out: another copy in ingress_test, whose fixture keeps its own server and one caller.

Change: started_server holds them. The checks, times and counts are the same.

--- a/tanagerspur/testing/http_server_test.cpp
+++ b/tanagerspur/testing/http_server_test.cpp
@@ -73,23 +73,49 @@
     asio::write(caller, asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}));
 }
 
-// Runs the server until the caller's connection is closed; returns what it received.
-std::string received_until_close(asio::io_context& server_io, tcp::socket& caller)
+// A listening server that runs only when a test lets it, and callers that connect meanwhile.
+class started_server
 {
-    std::string text;
-    boost::system::error_code error;
-    caller.non_blocking(true);
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{2};
-    while (std::chrono::steady_clock::now() < end && (!error || error == asio::error::would_block))
+public:
+    started_server() { CPPUNIT_ASSERT_EQUAL(std::string{}, m_server.start()); }
+
+    http_server* operator->() { return &m_server; }
+
+    tcp::socket connect()
     {
-        server_io.restart();
-        server_io.run_one_for(std::chrono::milliseconds{5});
-        std::array<char, 4096> bytes{};
-        const std::size_t size = caller.read_some(asio::buffer(bytes), error);
-        text.append(bytes.data(), size);
+        tcp::socket caller(m_caller_io);
+        caller.connect({asio::ip::address_v4::loopback(), m_port});
+        return caller;
     }
-    return text;
-}
+
+    void run_for(duration time) { m_io.run_for(time); }
+
+    // Runs the server until the caller's connection is closed; returns what it received.
+    std::string received_until_close(tcp::socket& caller)
+    {
+        std::string text;
+        boost::system::error_code error;
+        caller.non_blocking(true);
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{2};
+        while (std::chrono::steady_clock::now() < end &&
+               (!error || error == asio::error::would_block))
+        {
+            m_io.restart();
+            m_io.run_one_for(std::chrono::milliseconds{5});
+            std::array<char, 4096> bytes{};
+            const std::size_t size = caller.read_some(asio::buffer(bytes), error);
+            text.append(bytes.data(), size);
+        }
+        return text;
+    }
+
+private:
+    asio::io_context m_io;
+    asio::io_context m_caller_io;
+    greeting_handler m_handler;
+    std::uint16_t m_port = free_port();
+    http_server m_server{m_io, {.listen = {.address = "127.0.0.1", .port = m_port}}, m_handler};
+};
 
 } // namespace
 
@@ -105,38 +131,26 @@
     // The connections are established in the kernel, but the server has not run since.
     void stop_answers_calls_in_accept_queue()
     {
-        asio::io_context io;
-        greeting_handler handler;
-        const std::uint16_t port = free_port();
-        http_server server(io, {.listen = {.address = "127.0.0.1", .port = port}}, handler);
-        CPPUNIT_ASSERT_EQUAL(std::string{}, server.start());
-        asio::io_context caller_io;
+        started_server server;
         std::vector<tcp::socket> callers;
         for (int i = 0; i < 4; ++i)
         {
-            callers.emplace_back(caller_io);
-            callers.back().connect({asio::ip::address_v4::loopback(), port});
+            callers.push_back(server.connect());
             send_call(callers.back());
         }
-        server.stop_accepting();
+        server->stop_accepting();
         for (tcp::socket& each : callers)
-            CPPUNIT_ASSERT(received_until_close(io, each).ends_with("hello"));
+            CPPUNIT_ASSERT(server.received_until_close(each).ends_with("hello"));
     }
 
     void stop_answers_call_that_was_not_read()
     {
-        asio::io_context io;
-        greeting_handler handler;
-        const std::uint16_t port = free_port();
-        http_server server(io, {.listen = {.address = "127.0.0.1", .port = port}}, handler);
-        CPPUNIT_ASSERT_EQUAL(std::string{}, server.start());
-        asio::io_context caller_io;
-        tcp::socket caller(caller_io);
-        caller.connect({asio::ip::address_v4::loopback(), port});
-        io.run_for(std::chrono::milliseconds{20});
+        started_server server;
+        tcp::socket caller = server.connect();
+        server.run_for(std::chrono::milliseconds{20});
         send_call(caller);
-        server.stop_accepting();
-        CPPUNIT_ASSERT(received_until_close(io, caller).ends_with("hello"));
+        server->stop_accepting();
+        CPPUNIT_ASSERT(server.received_until_close(caller).ends_with("hello"));
     }
 
     void split_request_does_not_block_event_loop()
