shard_load_test plays callers that looked up addresses while a shard is overloaded

Cause: the test of early incomplete answers covered the decision alone; nothing played the load through the forwarders and looked at what those callers get whose look-up no host can see.

Ruled out: a bound from the measured figure; the check is that a look-up costs a caller nothing, within two in a hundred.

Change: the simulation knows callers that spent time on a look-up before their request. Simulations without look-ups draw the same random numbers as before. Ten shards, of which one has replicas at a sixth of their speed, 180 requests a second, one caller in seven after a look-up of 7 ms.

--- a/tanagerspur/forwarding/partial_answer.hpp
+++ b/tanagerspur/forwarding/partial_answer.hpp
@@ -4,7 +4,7 @@
 // host does not know how much time the caller has spent: it may have used two round trips for an
 // address look-up. An incomplete answer leaves time for a look-up unless the parts that may still
 // arrive in that time are worth more than the risk. This handles shards of which some pause,
-// straggle or are overloaded; see partial_answer_test.
+// straggle or are overloaded; see partial_answer_test and shard_load_test.
 
 #ifndef TANAGERSPUR_FORWARDING_PARTIAL_ANSWER_HPP
 #define TANAGERSPUR_FORWARDING_PARTIAL_ANSWER_HPP
--- a/tanagerspur/testing/shard_load_test.cpp
+++ b/tanagerspur/testing/shard_load_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(does_not_refuse_because_of_slow_shards);
     CPPUNIT_TEST(refuses_overload_while_replicas_are_unresponsive);
     CPPUNIT_TEST(does_not_refuse_moderate_load_for_lack_of_connections);
+    CPPUNIT_TEST(answers_callers_in_time_that_looked_up_addresses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,7 +108,50 @@
         }
     }
 
+    // All replicas of one shard of ten are so slow that its queue is never empty, and nine parts
+    // are enough. One caller in seven has looked up addresses. It must be answered in time as often
+    // as the others, within two in a hundred, and no caller may be refused or fail more often for
+    // it.
+    void answers_callers_in_time_that_looked_up_addresses()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        {
+            const load_outcome outcome = run_overloaded_shard({}, seed);
+            const load_outcome patient = run_overloaded_shard({.lookup_share = 0}, seed);
+            const auto describe = [](const load_outcome& of)
+            {
+                return std::to_string(of.in_time_share_after_lookup()) +
+                       " of callers with a look-up, " +
+                       std::to_string(of.in_time_share_without_lookup()) + " without one, " +
+                       std::to_string(of.refused) + " refused, " + std::to_string(of.failed) +
+                       " failed";
+            };
+            const std::string summary = "seed " + std::to_string(seed) + ": " + describe(outcome) +
+                                        "; if answers wait: " + describe(patient);
+            CPPUNIT_ASSERT_MESSAGE(summary, outcome.in_time_share_after_lookup() >=
+                                                outcome.in_time_share_without_lookup() - 0.02);
+            CPPUNIT_ASSERT_MESSAGE(summary, outcome.in_time_share() > patient.in_time_share());
+            CPPUNIT_ASSERT_MESSAGE(summary, outcome.refused + outcome.failed <=
+                                                patient.refused + patient.failed);
+        }
+    }
+
 private:
+    // A tenth of the shards slowed down as by a fault of all their replicas.
+    static load_outcome run_overloaded_shard(partial_answer_options partial, std::uint64_t seed)
+    {
+        simulation_options options = overload_options({}, seed);
+        options.requests_per_second = 180;
+        options.timeout = std::chrono::milliseconds{800};
+        options.lookup_share = 1.0 / 7;
+        options.lookup_time = std::chrono::milliseconds{7};
+        options.partial = partial;
+        shard_simulation simulation{options};
+        simulation.run_load(std::chrono::seconds{2});
+        slow_down(simulation, 4, 6);
+        return simulation.run_load(std::chrono::seconds{8}, std::chrono::seconds{1});
+    }
+
     // Few connections per host, as when seven hosts share a replica's connections.
     static simulation_options overload_options(admission_options admission, std::uint64_t seed)
     {
--- a/tanagerspur/testing/shard_simulation.cpp
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -46,7 +46,8 @@
         , m_forwarder({.own_zone = zone_id{"zone-" + std::to_string(number % 3)},
                        .seed = simulation.m_options.seed + number,
                        .retries = {.ratio = simulation.m_options.retry_ratio},
-                       .admission = simulation.m_options.admission},
+                       .admission = simulation.m_options.admission,
+                       .partial = simulation.m_options.partial},
                       m_registry, *this)
     {
         const simulation_options& options = simulation.m_options;
@@ -66,6 +67,13 @@
     {
         auto request = std::make_shared<caller_request>();
         request->id = request_id{std::to_string(m_simulation.m_next_request)};
+        request->lookup_time = m_simulation.m_options.lookup_time;
+        if (m_simulation.m_options.lookup_share > 0 &&
+            m_simulation.draw(m_simulation.m_options.lookup_share))
+        {
+            m_after_lookup.insert(m_simulation.m_next_request);
+            ++m_simulation.m_outcome.requests_after_lookup;
+        }
         m_forwarder.begin(exchange_id{m_simulation.m_next_request++}, request, m_simulation.m_table,
                           *m_simulation.m_table->match("h", path), m_simulation.m_now);
     }
@@ -140,7 +148,11 @@
         load_outcome& outcome = m_simulation.m_outcome;
         ++outcome.answered;
         outcome.complete += summary.parts == summary.expected_parts ? 1 : 0;
-        outcome.in_time += summary.took <= m_simulation.m_options.objective ? 1 : 0;
+        const bool is_after_lookup = m_after_lookup.contains(summary.id.value());
+        const duration spent = is_after_lookup ? m_simulation.m_options.lookup_time : duration{0};
+        const bool is_in_time = summary.took + spent <= m_simulation.m_options.objective;
+        outcome.in_time += is_in_time ? 1 : 0;
+        outcome.in_time_after_lookup += is_in_time && is_after_lookup ? 1 : 0;
     }
 
     void on_attempt_event(const attempt_event& /*note*/) override {}
@@ -153,6 +165,8 @@
     replica_registry m_registry;
     forwarder m_forwarder;
     std::set<std::uint64_t> m_open_attempts;
+    // Numbers of the requests whose callers looked up addresses before.
+    std::set<std::uint64_t> m_after_lookup;
 };
 
 shard_simulation::shard_simulation(simulation_options options)
--- a/tanagerspur/testing/shard_simulation.hpp
+++ b/tanagerspur/testing/shard_simulation.hpp
@@ -36,7 +36,12 @@
     double min_coverage = 0.89;
     double retry_ratio = 0.18;
     double retry_slack = 38;
+    // Share of the callers that looked up addresses before their request, and the time that took
+    // them. Hosts know the time, but not who spent it.
+    double lookup_share = 0;
+    duration lookup_time{0};
     admission_options admission;
+    partial_answer_options partial;
     std::uint64_t seed = 1;
 };
 
@@ -62,6 +67,9 @@
     std::size_t complete = 0;
     std::size_t refused = 0;
     std::size_t failed = 0;
+    // Of these, the requests of callers that looked up addresses before.
+    std::size_t requests_after_lookup = 0;
+    std::size_t in_time_after_lookup = 0;
     // Ratio of extra attempts at shards to first attempts.
     double extra_share = 0;
 
@@ -69,12 +77,21 @@
     double complete_share() const { return share(complete); }
     double in_time_share() const { return share(in_time); }
     double unanswered_share() const { return share(refused + failed); }
+    double in_time_share_after_lookup() const
+    {
+        return ratio(in_time_after_lookup, requests_after_lookup);
+    }
+    double in_time_share_without_lookup() const
+    {
+        return ratio(in_time - in_time_after_lookup, requests - requests_after_lookup);
+    }
 
 private:
-    double share(std::size_t count) const
+    static double ratio(std::size_t count, std::size_t of)
     {
-        return requests == 0 ? 0 : static_cast<double>(count) / static_cast<double>(requests);
+        return of == 0 ? 0 : static_cast<double>(count) / static_cast<double>(of);
     }
+    double share(std::size_t count) const { return ratio(count, requests); }
 };
 
 class shard_simulation
