--- a/bench/experiment/experiment.cpp
+++ b/bench/experiment/experiment.cpp
@@ -90,7 +90,7 @@
     return plays;
 }
 
-// The rows of the table: each day of each site, and all of them.
+// Plays of the base and of a variant with the same key, by "SITE DAY".
 using pairs_by_day = std::map<std::string, std::vector<std::pair<play_result, play_result>>>;
 
 pairs_by_day pair_plays(const plays_by_key& base, const plays_by_key& variant)
