Address answers name only hosts that this host reaches

Cause: whether a host runs was told by its entry in the store alone. An entry outlives its host by what is left of its lease (10 s) and by the 3 s for which removed entries are kept, longer while the store is away. Class of fault: a lapse that is right for one use (a share of connections must not be given away early) decides another one that needs the present state.

Change: a host keeps an idle connection to the hosts that it names. Refusals, resets and the kernel's keep-alive probes tell when one is gone, without a call to the store or a wake-up. The decision (host_monitor) has no sockets. Hosts of another zone are watched once its callers ask. Shares of connections and extra attempts still go by the entries, since it may be this host that is cut off; a host that replaces a dead one gets its share at once. Shorter leases were not taken: they cost calls of each host to the store, and lapse when it is slow.

Test: gateway_start_test::registered_host_that_does_not_run_is_not_named_to_callers fails on the code before.

--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -51,6 +51,13 @@
                    .callers = m_settings.callers,
                    .peers = m_settings.peers,
                    .capacity = m_settings.capacity})
+    , m_host_connections(
+          io,
+          {.opened = [this](const host_id& id) { m_host_monitor.opened(id, boot_now()); },
+           .open_failed = [this](const host_id& id) { m_host_monitor.open_failed(id, boot_now()); },
+           .lost = [this](const host_id& id) { m_host_monitor.connection_lost(id, boot_now()); }})
+    , m_host_monitor({}, m_host_connections, *this)
+    , m_caller_zones{m_settings.zone}
     , m_relay(m_mirror.log())
     , m_relay_http(io, {.listen = m_settings.peers}, m_relay)
     , m_random(std::hash<std::string>{}(m_settings.id.value()) + 1)
@@ -244,6 +251,7 @@
     m_pool.tick(now);
     m_ingress.tick(now);
     m_directory.tick(now);
+    m_host_monitor.tick(now);
     m_relay.tick(now);
     update_load(now, now - due);
     update_registration(now);
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -14,9 +14,11 @@
 #include "tanagerspur/forwarding/forwarder.hpp"
 #include "tanagerspur/gateway/cpu_load_estimator.hpp"
 #include "tanagerspur/gateway/host_directory.hpp"
+#include "tanagerspur/gateway/host_monitor.hpp"
 #include "tanagerspur/gateway/overload_detector.hpp"
 #include "tanagerspur/gateway/pause_detector.hpp"
 #include "tanagerspur/gateway/settings.hpp"
+#include "tanagerspur/net/host_connections.hpp"
 #include "tanagerspur/net/http_server.hpp"
 #include "tanagerspur/net/ingress_server.hpp"
 #include "tanagerspur/net/replica_pool.hpp"
@@ -40,6 +42,7 @@
 
 class gateway final : private mirror_observer,
                       private registry_observer,
+                      private reachability_observer,
                       private forwarder_environment,
                       private ingress_handler
 {
@@ -62,7 +65,9 @@
 
     // True while this host may be advertised to callers.
     bool is_ready() const;
-    std::vector<endpoint> addresses(const zone_id& caller_zone, std::size_t max_count) const;
+    // Returns addresses for a caller in the zone. From then on, the reachability of the hosts of
+    // its zone is known.
+    std::vector<endpoint> addresses(const zone_id& caller_zone, std::size_t max_count);
     std::chrono::seconds address_validity() const { return m_settings.address_validity; }
 
     // Returns counters and latencies in the Prometheus exposition format.
@@ -78,6 +83,8 @@
     void on_store_lost() override;
     void on_store_regained() override;
 
+    void reachability_changed(const host_id& id, reachability current) override;
+
     void replica_added(const replica& added) override;
     void replica_left(const replica& left, removal why) override;
 
@@ -114,6 +121,7 @@
     void schedule_tick();
     void tick(time_point due);
     void update_readers();
+    void update_watched_hosts();
     void update_load(time_point now, duration lateness);
     void advance_stop(time_point now);
     time_point host_entry_expiry() const;
@@ -136,6 +144,11 @@
     store_mirror m_mirror;
     host_registration m_registration;
     host_directory m_directory;
+    host_connections m_host_connections;
+    host_monitor m_host_monitor;
+    // Zones whose callers ask this host for addresses.
+    std::set<zone_id> m_caller_zones;
+    std::uint64_t m_hosts_lost = 0;
     relay_server m_relay;
     http_server m_relay_http;
     overload_detector m_overload_detector;
--- a/tanagerspur/gateway/gateway_hosts.cpp
+++ b/tanagerspur/gateway/gateway_hosts.cpp
@@ -27,9 +27,38 @@
 
 } // namespace
 
-std::vector<endpoint> gateway::addresses(const zone_id& caller_zone, std::size_t max_count) const
+// Callers ask the hosts of their own zone first, so most hosts watch only their zone.
+std::vector<endpoint> gateway::addresses(const zone_id& caller_zone, std::size_t max_count)
 {
-    return m_directory.addresses(caller_zone, max_count);
+    const std::vector<host_record> known = m_directory.all_hosts();
+    const bool is_known_zone =
+        std::any_of(known.begin(), known.end(),
+                    [&](const host_record& each) { return each.zone == caller_zone; });
+    if (is_known_zone && m_caller_zones.insert(caller_zone).second)
+        update_watched_hosts();
+    return m_directory.addresses(caller_zone, max_count, m_host_monitor);
+}
+
+void gateway::update_watched_hosts()
+{
+    std::map<host_id, endpoint> watched;
+    for (const host_record& each : m_directory.hosts_to_watch(m_caller_zones, m_host_monitor))
+        watched[each.id] = each.peers;
+    m_host_monitor.watch(watched, boot_now());
+}
+
+void gateway::reachability_changed(const host_id& id, reachability current)
+{
+    if (current == reachability::unreachable)
+        ++m_hosts_lost;
+    m_log.write_limited("host_reachability",
+                        {{"host", id.value()},
+                         {"now", std::string{to_string(current)}},
+                         {"watched", std::to_string(m_host_monitor.watched())},
+                         {"unreachable", std::to_string(m_host_monitor.unreachable())},
+                         {"revision", std::to_string(m_mirror.as_of().value())}},
+                        boot_now());
+    on_hosts_changed();
 }
 
 void gateway::publish_own_entry()
@@ -58,20 +87,28 @@
 }
 
 // Divides connections and extra attempts among the advertised hosts. Any other host is limited to
-// one connection to each replica and to the ratio of extra attempts, without slack.
+// one connection to each replica and to the ratio of extra attempts, without slack. A host that
+// replaces unreachable ones takes a share at once. The shares do not grow by what is unreachable
+// from here: it may be this host that is cut off.
 void gateway::on_hosts_changed()
 {
     publish_own_entry();
     update_readers();
-    const std::vector<host_record> advertised = m_directory.advertised_hosts();
-    const bool is_advertised =
-        std::any_of(advertised.begin(), advertised.end(),
-                    [this](const host_record& each) { return each.id == m_settings.id; });
-    const double hosts = static_cast<double>(std::max<std::size_t>(1, advertised.size()));
-    if (std::exchange(m_sharing_hosts, is_advertised ? advertised.size() : 0) !=
-        (is_advertised ? advertised.size() : 0))
+    update_watched_hosts();
+    const std::vector<host_record> registered = m_directory.advertised_hosts();
+    const std::vector<host_record> running = m_directory.advertised_hosts(m_host_monitor);
+    const auto contains_self = [this](const std::vector<host_record>& hosts)
+    {
+        return std::any_of(hosts.begin(), hosts.end(),
+                           [this](const host_record& each) { return each.id == m_settings.id; });
+    };
+    const bool is_advertised = contains_self(registered) || contains_self(running);
+    const std::size_t sharing = std::max(registered.size(), running.size());
+    const double hosts = static_cast<double>(std::max<std::size_t>(1, sharing));
+    if (std::exchange(m_sharing_hosts, is_advertised ? sharing : 0) !=
+        (is_advertised ? sharing : 0))
         m_log.write("shares_changed", {{"used", is_advertised ? "true" : "false"},
-                                       {"used_hosts", std::to_string(advertised.size())},
+                                       {"used_hosts", std::to_string(sharing)},
                                        {"known_hosts", std::to_string(m_directory.known_hosts())}});
     m_forwarder.set_retry_slack(
         is_advertised ? m_settings.retry_slack * retry_slack_share / hosts : 0.0, boot_now());
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -75,6 +75,9 @@
     text.add("caller_connections", m_ingress.open_sessions());
     text.add("replicas", m_registry.size());
     text.add("hosts_ready", m_directory.ready_hosts());
+    text.add("hosts_watched", m_host_monitor.watched());
+    text.add("hosts_unreachable", m_host_monitor.unreachable());
+    text.add("hosts_lost_total", m_hosts_lost);
     text.add("ready", is_ready() ? 1 : 0);
     text.add("configuration_version", m_table ? m_table->version().value() : 0);
     text.add("timer_lateness_us",
@@ -134,6 +137,13 @@
             services.push_back(
                 boost::json::object{{"service", service.value()}, {"replicas", replicas}});
         }
+    boost::json::array hosts;
+    for (const host_record& each : m_directory.all_hosts())
+        hosts.push_back(
+            boost::json::object{{"id", each.id.value()},
+                                {"zone", each.zone.value()},
+                                {"is_ready", each.is_ready},
+                                {"reachability", to_string(m_host_monitor.of(each.id))}});
     return boost::json::serialize(boost::json::object{
                {"host", m_settings.id.value()},
                {"is_ready", is_ready()},
@@ -145,6 +155,7 @@
                {"known_hosts", m_directory.known_hosts()},
                {"ready_hosts", m_directory.ready_hosts()},
                {"under_way", m_forwarder.open_exchanges()},
+               {"hosts", hosts},
                {"services", services}}) +
            "\n";
 }
--- a/tanagerspur/gateway/host_directory.cpp
+++ b/tanagerspur/gateway/host_directory.cpp
@@ -90,11 +90,12 @@
     return advertised_host_count(capacities, load, m_options.host_count);
 }
 
-std::vector<host_record> host_directory::advertised_hosts() const
+template<class Condition>
+std::vector<host_record> host_directory::choose_advertised(Condition may_advertise) const
 {
     std::map<zone_id, std::vector<host_record>> zones;
     for (host_record& each : all_hosts())
-        if (each.is_ready)
+        if (each.is_ready && may_advertise(each))
             zones[each.zone].push_back(std::move(each));
     std::vector<host_record> advertised;
     for (auto& [zone, hosts] : zones)
@@ -106,6 +107,18 @@
     return advertised;
 }
 
+std::vector<host_record> host_directory::advertised_hosts() const
+{
+    return choose_advertised([](const host_record&) { return true; });
+}
+
+std::vector<host_record> host_directory::advertised_hosts(const reachability_source& hosts) const
+{
+    return choose_advertised(
+        [&](const host_record& each)
+        { return each.id == m_self.id || hosts.of(each.id) != reachability::unreachable; });
+}
+
 bool host_directory::should_register() const
 {
     std::vector<host_record> hosts;
@@ -124,13 +137,15 @@
     return static_cast<std::size_t>(preferred_hosts) < wanted;
 }
 
-std::vector<endpoint> host_directory::addresses(const zone_id& caller_zone,
-                                                std::size_t max_count) const
+std::vector<endpoint> host_directory::addresses(const zone_id& caller_zone, std::size_t max_count,
+                                                const reachability_source& hosts) const
 {
     std::vector<endpoint> same_zone;
     std::vector<endpoint> all;
-    for (const host_record& each : advertised_hosts())
+    for (const host_record& each : advertised_hosts(hosts))
     {
+        if (each.id != m_self.id && hosts.of(each.id) != reachability::reachable)
+            continue;
         all.push_back(each.callers);
         if (each.zone == caller_zone)
             same_zone.push_back(each.callers);
@@ -141,6 +156,29 @@
     return chosen;
 }
 
+// Hosts that are unreachable stay watched while the store lists them, so that their return is
+// noticed.
+std::vector<host_record> host_directory::hosts_to_watch(const std::set<zone_id>& caller_zones,
+                                                        const reachability_source& hosts) const
+{
+    std::vector<host_record> candidates = advertised_hosts(hosts);
+    const bool has_small_zone =
+        std::any_of(caller_zones.begin(), caller_zones.end(),
+                    [&](const zone_id& zone)
+                    {
+                        const auto in_zone =
+                            std::count_if(candidates.begin(), candidates.end(),
+                                          [&](const auto& each) { return each.zone == zone; });
+                        return static_cast<std::size_t>(in_zone) < min_hosts_per_zone;
+                    });
+    const std::vector<host_record> registered = advertised_hosts();
+    candidates.insert(candidates.end(), registered.begin(), registered.end());
+    std::erase_if(
+        candidates, [&](const host_record& each)
+        { return each.id == m_self.id || (!has_small_zone && !caller_zones.contains(each.zone)); });
+    return candidates;
+}
+
 std::size_t host_directory::ready_hosts() const
 {
     std::size_t ready = m_self.is_ready ? 1 : 0;
--- a/tanagerspur/gateway/host_directory.hpp
+++ b/tanagerspur/gateway/host_directory.hpp
@@ -7,8 +7,10 @@
 #include "tanagerspur/common/ids.hpp"
 #include "tanagerspur/common/time.hpp"
 #include "tanagerspur/gateway/advertised_host_count.hpp"
+#include "tanagerspur/gateway/host_monitor.hpp"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace tanagerspur
@@ -71,13 +73,22 @@
     void set_own_state(const host_state& state);
     void tick(time_point now);
 
-    // Returns the ready hosts that are advertised to callers: in each zone the hosts with the
-    // highest expected capacity, as many as the load of the zone requires.
+    // Returns the ready hosts that share the callers according to the store: in each zone the hosts
+    // with the highest expected capacity, as many as the load of the zone requires.
     std::vector<host_record> advertised_hosts() const;
 
+    // The same choice without the hosts that are known to be unreachable, which others replace.
+    std::vector<host_record> advertised_hosts(const reachability_source& hosts) const;
+
     // Returns at most max_count addresses for a caller in the zone: the advertised hosts of its
-    // zone, or of all zones if its zone has fewer than two.
-    std::vector<endpoint> addresses(const zone_id& caller_zone, std::size_t max_count) const;
+    // zone that are known to be reachable, or those of all zones if its zone has fewer than two.
+    std::vector<endpoint> addresses(const zone_id& caller_zone, std::size_t max_count,
+                                    const reachability_source& hosts) const;
+
+    // Returns the other hosts whose reachability has to be known in order to answer callers of the
+    // zones.
+    std::vector<host_record> hosts_to_watch(const std::set<zone_id>& caller_zones,
+                                            const reachability_source& hosts) const;
 
     // True if this host should register: it is among the largest known hosts of its zone. Hosts
     // that are not registered serve any caller that connects, but are not advertised.
@@ -93,6 +104,9 @@
 private:
     // Load that the host is expected to be able to carry, in thousandths of a core.
     std::uint32_t expected_capacity(const host_record& host) const;
+    // Returns the advertised hosts of those that satisfy the condition.
+    template<class Condition>
+    std::vector<host_record> choose_advertised(Condition may_advertise) const;
     // Sorts one zone's hosts by decreasing expected capacity; returns how many of the first are
     // advertised.
     std::size_t sort_and_count_advertised(std::vector<host_record>& hosts) const;
--- a/tanagerspur/gateway/host_monitor.cpp
+++ b/tanagerspur/gateway/host_monitor.cpp
@@ -105,9 +105,9 @@
 
 std::size_t host_monitor::unreachable() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_hosts.begin(), m_hosts.end(), [](const auto& each)
-                      { return each.second.current == reachability::unreachable; }));
+    return static_cast<std::size_t>(std::count_if(
+        m_hosts.begin(), m_hosts.end(),
+        [](const auto& each) { return each.second.current == reachability::unreachable; }));
 }
 
 } // namespace tanagerspur
--- a/tanagerspur/gateway/host_monitor.hpp
+++ b/tanagerspur/gateway/host_monitor.hpp
@@ -24,6 +24,13 @@
 
 std::string_view to_string(reachability value);
 
+class reachability_source
+{
+public:
+    virtual ~reachability_source() = default;
+    virtual reachability of(const host_id& id) const = 0;
+};
+
 struct host_monitor_options
 {
     // Delay before the next connection after one that could not be opened or did not last.
@@ -50,7 +57,7 @@
     virtual void reachability_changed(const host_id& id, reachability current) = 0;
 };
 
-class host_monitor
+class host_monitor final : public reachability_source
 {
 public:
     host_monitor(host_monitor_options options, host_connector& connector,
@@ -68,7 +75,7 @@
     // Opens the connections that are due.
     void tick(time_point now);
 
-    reachability of(const host_id& id) const;
+    reachability of(const host_id& id) const override;
     std::size_t watched() const { return m_hosts.size(); }
     std::size_t unreachable() const;
 
--- a/tanagerspur/operations/explain.cpp
+++ b/tanagerspur/operations/explain.cpp
@@ -23,6 +23,7 @@
         {"store_regained", "store"},
         {"snapshot", "list of replicas"},
         {"shares_changed", "shares"},
+        {"host_reachability", "hosts"},
         {"load_changed", "load"},
         {"stopping", "stopping"},
         {"start", "start"},
--- a/tanagerspur/testing/gateway_start_test.cpp
+++ b/tanagerspur/testing/gateway_start_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 
 namespace tanagerspur
@@ -39,6 +40,7 @@
     CPPUNIT_TEST(ignores_malformed_entries);
     CPPUNIT_TEST(small_host_registers_only_when_needed);
     CPPUNIT_TEST(first_host_reads_store_twice);
+    CPPUNIT_TEST(registered_host_that_does_not_run_is_not_named_to_callers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,6 +121,25 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_store->calls().ranges);
     }
 
+    void registered_host_that_does_not_run_is_not_named_to_callers()
+    {
+        tcp::acceptor running(*m_io, tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0});
+        const endpoint running_at{.address = "127.0.0.1", .port = running.local_endpoint().port()};
+        const endpoint dead_at = free_endpoint();
+        m_store->set(platform::configuration_key_name, configuration);
+        register_host("running", 500, running_at.port);
+        register_host("dead", 500, dead_at.port);
+        gateway& host = start("h", 250);
+        CPPUNIT_ASSERT(run_until(*m_io, [&host] { return host.is_ready(); }));
+        const auto names = [&host](const endpoint& at)
+        {
+            const std::vector<endpoint> named = host.addresses(zone_id{"a"}, 64);
+            return std::find(named.begin(), named.end(), at) != named.end();
+        };
+        CPPUNIT_ASSERT(run_until(*m_io, [&] { return names(running_at) && !names(dead_at); }));
+        CPPUNIT_ASSERT(has_entry("dead"));
+    }
+
 private:
     void register_host(const std::string& id, std::uint32_t capacity, std::uint16_t port)
     {
--- a/tanagerspur/testing/gateway_test.cpp
+++ b/tanagerspur/testing/gateway_test.cpp
@@ -4,6 +4,7 @@
 #include "tanagerspur/common/event_log.hpp"
 #include "tanagerspur/forwarding/retry_window.hpp"
 #include "tanagerspur/gateway/host_directory.hpp"
+#include "tanagerspur/gateway/host_monitor.hpp"
 #include "tanagerspur/gateway/metrics_text.hpp"
 #include "tanagerspur/gateway/overload_detector.hpp"
 #include "tanagerspur/gateway/pause_detector.hpp"
@@ -40,6 +41,25 @@
             .is_ready = true};
 }
 
+// Hosts are reachable unless they are listed otherwise.
+class known_reachability final : public reachability_source
+{
+public:
+    reachability of(const host_id& id) const override
+    {
+        const auto found = m_others.find(id);
+        return found == m_others.end() ? reachability::reachable : found->second;
+    }
+
+    std::map<host_id, reachability> m_others;
+};
+
+std::vector<endpoint> addresses_of(const host_directory& fleet, const std::string& zone,
+                                   std::size_t max_count, const known_reachability& hosts = {})
+{
+    return fleet.addresses(zone_id{zone}, max_count, hosts);
+}
+
 // Returns the host directory of one host in a fleet of three zones.
 host_directory make_fleet(std::size_t large, std::size_t small)
 {
@@ -90,6 +110,8 @@
     CPPUNIT_TEST(does_not_advertise_busy_host);
     CPPUNIT_TEST(registers_largest_hosts);
     CPPUNIT_TEST(advertises_all_zones_below_two_ready_hosts);
+    CPPUNIT_TEST(dead_host_is_not_named_while_its_entry_lasts);
+    CPPUNIT_TEST(watches_other_zones_only_for_their_callers);
     CPPUNIT_TEST(retains_removed_hosts_until_expiry);
     CPPUNIT_TEST(all_hosts_compute_same_advertised_set);
     CPPUNIT_TEST(retry_window_enforces_limit);
@@ -142,9 +164,9 @@
     {
         const host_directory fleet = make_fleet(2, 20);
         CPPUNIT_ASSERT_EQUAL(std::size_t{6}, fleet.advertised_hosts().size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.addresses(zone_id{"b"}, 64).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, fleet.addresses(zone_id{"elsewhere"}, 64).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.addresses(zone_id{"elsewhere"}, 4).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, addresses_of(fleet, "b", 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, addresses_of(fleet, "elsewhere", 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, addresses_of(fleet, "elsewhere", 4).size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{6}, make_fleet(0, 20).advertised_hosts().size());
     }
 
@@ -158,7 +180,7 @@
             loaded.load = load_of_zone / 2;
             fleet.put(loaded);
         }
-        return fleet.addresses(zone_id{"b"}, 64).size();
+        return addresses_of(fleet, "b", 64).size();
     }
 
     void advertises_more_hosts_under_load()
@@ -248,10 +270,54 @@
         host_directory fleet{make_host("1", "a", 250)};
         fleet.put(make_host("2", "b", 250));
         fleet.put(make_host("3", "b", 250));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.addresses(zone_id{"a"}, 64).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.addresses(zone_id{"b"}, 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, addresses_of(fleet, "a", 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, addresses_of(fleet, "b", 64).size());
         fleet.set_own_state({.is_ready = false});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.addresses(zone_id{"a"}, 64).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, addresses_of(fleet, "a", 64).size());
+    }
+
+    void dead_host_is_not_named_while_its_entry_lasts()
+    {
+        host_directory fleet{make_host("1", "a", 250)};
+        for (const char* id : {"2", "3", "4"})
+            fleet.put(make_host(id, "a", 250));
+        fleet.put(make_host("5", "b", 250));
+        known_reachability hosts;
+        const std::size_t named = addresses_of(fleet, "a", 64, hosts).size();
+        const std::vector<host_record> shared = fleet.advertised_hosts();
+        for (const reachability state : {reachability::unreachable, reachability::unknown})
+            for (const host_record& each : shared)
+            {
+                hosts.m_others = {{each.id, state}};
+                for (const endpoint& at : addresses_of(fleet, "a", 64, hosts))
+                    CPPUNIT_ASSERT(each.id == fleet.self().id || at != each.callers);
+            }
+        // Others take the places of hosts that are unreachable.
+        for (const host_record& each : shared)
+            hosts.m_others = {{each.id, reachability::unreachable}};
+        CPPUNIT_ASSERT_EQUAL(std::min<std::size_t>(named, 3),
+                             addresses_of(fleet, "a", 64, hosts).size());
+        // Callers of a zone without a running host get those of other zones.
+        hosts.m_others = {{host_id{"5"}, reachability::unreachable}};
+        CPPUNIT_ASSERT(!addresses_of(fleet, "b", 64, hosts).empty());
+    }
+
+    void watches_other_zones_only_for_their_callers()
+    {
+        host_directory fleet = make_fleet(3, 4);
+        known_reachability hosts;
+        for (const host_record& each : fleet.hosts_to_watch({zone_id{"a"}}, hosts))
+            CPPUNIT_ASSERT(each.zone == zone_id{"a"} && each.id != fleet.self().id);
+        std::set<zone_id> zones;
+        for (const host_record& each : fleet.hosts_to_watch({zone_id{"a"}, zone_id{"b"}}, hosts))
+            zones.insert(each.zone);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, zones.size());
+        // An unreachable host stays watched, so that its return is noticed.
+        const host_record lost = fleet.hosts_to_watch({zone_id{"a"}}, hosts).front();
+        hosts.m_others = {{lost.id, reachability::unreachable}};
+        const auto watched = fleet.hosts_to_watch({zone_id{"a"}}, hosts);
+        CPPUNIT_ASSERT(std::any_of(watched.begin(), watched.end(),
+                                   [&](const auto& each) { return each.id == lost.id; }));
     }
 
     void retains_removed_hosts_until_expiry()
