Replicas that announce in an answer that they leave get no work after that

At their end such requests are lost or repeated elsewhere.

Cause: that a replica leaves was known from its entry in the store alone. A host that has lost the store, or whose reader has, goes on sending for as long as that lasts. Class of fault: as with the dead hosts in address answers, what decides about a peer came by one slow path only, though the peer itself says so in its answers (Server-Leaving), which no code read.

Change: an answer with the header marks this incarnation. It gets only what no other replica can take, so that a host without the store loses no shard early, and is dropped half a second before drain_ms is over. It is remembered by its time of start, so that neither an entry that lapsed and is written again nor a late answer of an earlier incarnation changes that.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -211,7 +211,7 @@
     double rate = 0;
     for (const replica_ref& each : m_registry.of_service(service))
     {
-        if (!each->estimate.is_reachable(now) ||
+        if (!each->may_get_work(now) ||
             !each->estimate.accepts_another(now, unresponsive_after(matched_route)))
             continue;
         if (m_environment.has_free_connection(*each))
--- a/tanagerspur/forwarding/messages.hpp
+++ b/tanagerspur/forwarding/messages.hpp
@@ -85,6 +85,8 @@
     attempt_result result = attempt_result::failed;
     replica_answer answer;
     std::optional<reported_load> load;
+    // The replica announced that it is leaving.
+    bool is_leaving = false;
     // The address now belongs to another replica.
     bool is_misdirected = false;
     // For logs.
--- a/tanagerspur/forwarding/replica_choice.cpp
+++ b/tanagerspur/forwarding/replica_choice.cpp
@@ -1,6 +1,7 @@
 #include "tanagerspur/forwarding/replica_choice.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerspur
 {
@@ -35,7 +36,7 @@
     {
         const bool was_tried = std::find(request.tried->begin(), request.tried->end(),
                                          each->number) != request.tried->end();
-        if (was_tried || !each->estimate.is_reachable(now))
+        if (was_tried || !each->may_get_work(now))
             continue;
         if (request.avoids_queues && each->estimate.expected_requests(now) > each->record.slots)
             continue;
@@ -46,7 +47,8 @@
             continue;
         }
         const double expected = expected_us(*each, request, now);
-        if (best.to == nullptr || expected < min_expected_us)
+        if (best.to == nullptr || std::pair{each->is_leaving(), expected} <
+                                      std::pair{best.to->is_leaving(), min_expected_us})
         {
             best.to = each;
             min_expected_us = expected;
--- a/tanagerspur/forwarding/replica_choice.hpp
+++ b/tanagerspur/forwarding/replica_choice.hpp
@@ -1,5 +1,6 @@
 // Chooses the replica for the next attempt of a request: the one with the lowest expected latency,
-// with penalties for another availability zone, recent failures and overdue attempts.
+// with penalties for another availability zone, recent failures and overdue attempts. A replica
+// that is leaving is chosen only if there is no other.
 
 #ifndef TANAGERSPUR_FORWARDING_REPLICA_CHOICE_HPP
 #define TANAGERSPUR_FORWARDING_REPLICA_CHOICE_HPP
--- a/tanagerspur/forwarding/scatter_admission.cpp
+++ b/tanagerspur/forwarding/scatter_admission.cpp
@@ -40,7 +40,7 @@
     shard_prospect best = shard_prospect::no_replica;
     for (const replica_ref& each : *request.shards[shard])
     {
-        if (!each->estimate.is_reachable(now))
+        if (!each->may_get_work(now))
             continue;
         if (!has_connection_in_time(request, shard))
             return shard_prospect::no_free_connection;
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -16,6 +16,8 @@
 // Share of the deployment's bound on extra attempts that is used. The rest is left because requests
 // that never reached this host do not count towards the bound.
 constexpr double retry_ratio_share = 0.9;
+// Replicas that are leaving get no work for this long before they stop serving.
+constexpr duration drain_margin = std::chrono::milliseconds{500};
 // Assumed while the round-trip time to a caller has not been measured.
 constexpr duration default_round_trip = std::chrono::milliseconds{6};
 // Allowance for wake-ups, processing and writing the answer.
@@ -34,7 +36,8 @@
     , m_store(io, store)
     , m_log("gateway")
     , m_attempt_log("attempts")
-    , m_registry({}, *this)
+    , m_registry({.leaving_grace = m_settings.drain - std::min(m_settings.drain, drain_margin)},
+                 *this)
     , m_pool(io, m_header_names,
              [this](std::uint64_t attempt, attempt_outcome outcome)
              { m_forwarder.attempt_ended(attempt, std::move(outcome), boot_now()); })
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -87,6 +87,7 @@
 
     void replica_added(const replica& added) override;
     void replica_left(const replica& left, removal why) override;
+    void replica_leaving(const replica& which) override;
 
     void send(const attempt_order& order) override { m_pool.send(order); }
     void abort_at(std::uint64_t attempt, time_point end) override { m_pool.abort_at(attempt, end); }
@@ -149,6 +150,8 @@
     // Zones whose callers ask this host for addresses.
     std::set<zone_id> m_caller_zones;
     std::uint64_t m_hosts_lost = 0;
+    // Replicas that announced in an answer that they are leaving.
+    std::uint64_t m_replicas_leaving = 0;
     relay_server m_relay;
     http_server m_relay_http;
     overload_detector m_overload_detector;
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -74,6 +74,7 @@
     text.add("unfinished_answer_bytes", m_pool.buffered_bytes());
     text.add("caller_connections", m_ingress.open_sessions());
     text.add("replicas", m_registry.size());
+    text.add("replicas_leaving_total", m_replicas_leaving);
     text.add("hosts_ready", m_directory.ready_hosts());
     text.add("hosts_watched", m_host_monitor.watched());
     text.add("hosts_unreachable", m_host_monitor.unreachable());
@@ -133,6 +134,7 @@
                      each->estimate.expected_latency_ratio(now, each->record.slots)},
                     {"failure_share", each->estimate.failure_share(now)},
                     {"in_flight", each->estimate.in_flight()},
+                    {"is_leaving", each->is_leaving()},
                     {"is_reachable", each->estimate.is_reachable(now)}});
             services.push_back(
                 boost::json::object{{"service", service.value()}, {"replicas", replicas}});
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -216,6 +216,17 @@
                         boot_now());
 }
 
+void gateway::replica_leaving(const replica& which)
+{
+    ++m_replicas_leaving;
+    m_log.write("replica_leaving",
+                {{"replica", which.record.id.value()},
+                 {"service", which.record.service.value()},
+                 {"others", std::to_string(m_registry.of_service(which.record.service).size() - 1)},
+                 {"store", m_mirror.is_connected() ? "connected" : "lost"},
+                 {"revision", std::to_string(m_mirror.as_of().value())}});
+}
+
 void gateway::replica_left(const replica& left, removal why)
 {
     m_pool.replica_left(left);
--- a/tanagerspur/gateway/settings.cpp
+++ b/tanagerspur/gateway/settings.cpp
@@ -57,6 +57,11 @@
                     section.integer("retry_window_s",
                                     {.min = 1, .max = 3'600, .unit = "seconds", .fallback = 10}));
     settings.retry_window = std::chrono::seconds{window};
+    BOOST_LEAF_AUTO(
+        drain,
+        section.integer("drain_ms",
+                        {.min = 0, .max = 3'600'000, .unit = "milliseconds", .fallback = 3'000}));
+    settings.drain = std::chrono::milliseconds{drain};
     BOOST_LEAF_AUTO(stop,
                     section.integer("stop_within_s",
                                     {.min = 1, .max = 3'600, .unit = "seconds", .fallback = 6}));
--- a/tanagerspur/gateway/settings.hpp
+++ b/tanagerspur/gateway/settings.hpp
@@ -33,6 +33,8 @@
     // Additional extra attempts at a service in one window, over all hosts.
     double retry_slack = 50;
     duration retry_window = std::chrono::seconds{10};
+    // How long replicas that are leaving still serve requests.
+    duration drain = std::chrono::milliseconds{3'000};
     // Longest time from SIGTERM to the end of the process.
     std::chrono::seconds stop_within{6};
     // How long callers may cache addresses. A shorter time delays more requests by a look-up; a
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -228,6 +228,7 @@
     auto& message = m_parser->get();
     attempt_outcome outcome{.result = attempt_result::answered};
     outcome.load = parse_load(field(m_header_names.load));
+    outcome.is_leaving = field(m_header_names.leaving) == "1";
     outcome.answer.status = static_cast<int>(message.result_int());
     outcome.is_misdirected = outcome.answer.status == status_misdirected;
     if (outcome.is_misdirected || !field(m_header_names.not_run).empty())
--- a/tanagerspur/operations/explain.cpp
+++ b/tanagerspur/operations/explain.cpp
@@ -84,7 +84,8 @@
         if (kind != state_events().end())
             states[kind->second] = &each;
         const auto service = each.fields.find("service");
-        const bool is_replica = each.event == "replica_left" || each.event == "replica_added";
+        const bool is_replica = each.event == "replica_left" || each.event == "replica_added" ||
+                                each.event == "replica_leaving";
         if (is_replica && service != each.fields.end() && services.contains(service->second))
             replicas.push_back(&each);
     }
--- a/tanagerspur/registry/replica_registry.cpp
+++ b/tanagerspur/registry/replica_registry.cpp
@@ -15,6 +15,8 @@
         return "removed";
     case removal::draining:
         return "draining";
+    case removal::leaving:
+        return "leaving";
     case removal::replaced:
         return "replaced";
     case removal::expired:
@@ -44,7 +46,7 @@
         return;
     }
     if (found == m_by_id.end())
-        return add(record, now);
+        return has_left(record) ? void() : add(record, now);
     replica_record& known = found->second->record;
     const bool is_same = known.started_ms == record.started_ms && known.address == record.address &&
                          known.service == record.service;
@@ -80,6 +82,22 @@
     m_observer.replica_left(*left, why);
 }
 
+void replica_registry::leaving(replica& which, time_point now)
+{
+    const auto found = m_by_id.find(which.record.id);
+    if (which.is_leaving() || found == m_by_id.end() || found->second.get() != &which)
+        return;
+    which.leaves_at = now + m_options.leaving_grace;
+    m_left[which.record.id] = {.started_ms = which.record.started_ms, .announced = now};
+    m_observer.replica_leaving(which);
+}
+
+bool replica_registry::has_left(const replica_record& record) const
+{
+    const auto found = m_left.find(record.id);
+    return found != m_left.end() && found->second.started_ms == record.started_ms;
+}
+
 bool replica_registry::is_in_grace_period(time_point now) const
 {
     return m_store_lost || now < m_grace_end;
@@ -87,6 +105,10 @@
 
 void replica_registry::remove(const replica_id& id, time_point now)
 {
+    // Without a time of start, an incarnation ends with its entry.
+    const auto left = m_left.find(id);
+    if (left != m_left.end() && left->second.started_ms == 0)
+        m_left.erase(left);
     const auto found = m_by_id.find(id);
     if (found == m_by_id.end() || m_missing.contains(id))
         return;
@@ -110,6 +132,13 @@
         remove(id, now);
     std::erase_if(m_started_ms, [&](const auto& each)
                   { return !listed.contains(each.first) && !m_by_id.contains(each.first); });
+    std::erase_if(m_left,
+                  [&](const auto& each)
+                  {
+                      return !listed.contains(each.first) && !m_by_id.contains(each.first) &&
+                             (each.second.started_ms == 0 ||
+                              now - each.second.announced > m_options.left_memory);
+                  });
     for (const replica_record& each : records)
         put(each, now);
 }
@@ -136,6 +165,15 @@
 
 void replica_registry::tick(time_point now)
 {
+    std::vector<replica_id> left_ids;
+    for (const auto& [id, left] : m_left)
+    {
+        const auto found = m_by_id.find(id);
+        if (found != m_by_id.end() && now >= found->second->leaves_at)
+            left_ids.push_back(id);
+    }
+    for (const replica_id& id : left_ids)
+        remove_now(id, removal::leaving);
     if (m_missing.empty() || m_store_lost)
         return;
     std::vector<replica_id> expired_ids;
--- a/tanagerspur/registry/replica_registry.hpp
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -1,7 +1,9 @@
 // The replicas that are registered in the platform's store, by service, with an estimate of each.
 //
-// A replica that announces that it is draining, or whose entry is removed, gets no new work from
-// then on. Entries that disappear because the store was unavailable are kept for a grace period
+// A replica that announces in the store that it is draining, or whose entry is removed, gets no new
+// work from then on. One that announces in an answer that it is leaving gets work for a while yet,
+// but only what no other replica can take: this host may have lost the store and know of no other.
+// Entries that disappear because the store was unavailable are kept for a grace period
 // after the store is available again, since live replicas register again within it. The last entry
 // of a service is kept for the same time: its removal may be due to an outage that this host did
 // not notice, and no other replica could serve instead.
@@ -50,6 +52,15 @@
     replica_estimate estimate;
     // Distinguishes this replica object from all others of the process.
     std::uint64_t number = 0;
+    // From this time on it gets no work, because it announced that it is leaving; until then it
+    // gets what no other replica can take. never for all other replicas.
+    time_point leaves_at = never;
+
+    bool is_leaving() const { return leaves_at != never; }
+    bool may_get_work(time_point now) const
+    {
+        return now < leaves_at && estimate.is_reachable(now);
+    }
 };
 
 using replica_ref = std::shared_ptr<replica>;
@@ -61,13 +72,19 @@
     // A loss of the store shorter than this does not extend the grace period of entries that were
     // missing before: it is shorter than any lease, so no entry can have lapsed because of it.
     duration brief_loss = std::chrono::seconds{1};
+    // How long a replica that announced in an answer that it is leaving may get work.
+    duration leaving_grace = std::chrono::milliseconds{2'500};
+    // How long it is remembered that an incarnation has left. Its entry may lapse while the store
+    // is unavailable and be written again before it ends.
+    duration left_memory = std::chrono::minutes{10};
 };
 
 // Why a replica left the registry; for logs.
 enum class removal
 {
     removed,  // its entry was removed
-    draining, // it announced that it is draining
+    draining, // it announced in the store that it is draining
+    leaving,  // it announced in an answer that it is leaving
     replaced, // another incarnation uses its id
     expired   // its entry was not written again within the grace period
 };
@@ -81,6 +98,8 @@
     virtual ~registry_observer() = default;
     virtual void replica_added(const replica& added) = 0;
     virtual void replica_left(const replica& left, removal why) = 0;
+    // It announced in an answer that it is leaving. replica_left follows.
+    virtual void replica_leaving(const replica& which) = 0;
 };
 
 class replica_registry
@@ -94,6 +113,10 @@
     // An entry was removed or became invalid.
     void remove(const replica_id& id, time_point now);
 
+    // The replica announced in an answer that it is leaving. This holds for its incarnation,
+    // whatever its entry says.
+    void leaving(replica& which, time_point now);
+
     // The complete list was read: entries that are not in it are removed.
     void replace_all(const std::vector<replica_record>& records, time_point now);
 
@@ -101,7 +124,7 @@
     void store_lost(time_point now);
     void store_regained(time_point now);
 
-    // Removes the entries whose grace period has ended.
+    // Removes the entries whose grace period has ended, and the replicas that have left.
     void tick(time_point now);
 
     // Returns the replicas that may get new work.
@@ -113,6 +136,14 @@
     void add(const replica_record& record, time_point now);
     void remove_now(const replica_id& id, removal why);
     bool is_in_grace_period(time_point now) const;
+    bool has_left(const replica_record& record) const;
+
+    // An incarnation that announced that it is leaving.
+    struct left_incarnation
+    {
+        std::uint64_t started_ms = 0;
+        time_point announced;
+    };
 
     registry_options m_options;
     registry_observer& m_observer;
@@ -123,6 +154,7 @@
     // Start of the latest incarnation of each id, so that a late write of an earlier one is
     // ignored.
     std::map<replica_id, std::uint64_t> m_started_ms;
+    std::map<replica_id, left_incarnation> m_left;
     bool m_store_lost = false;
     time_point m_lost_at{};
     time_point m_grace_end{};
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -286,6 +286,7 @@
 private:
     void replica_added(const replica&) override {}
     void replica_left(const replica&, removal) override {}
+    void replica_leaving(const replica&) override {}
 
     void check_repeat(const request_trace& trace, const std::vector<std::uint64_t>& before) const
     {
--- /dev/null
+++ b/tanagerspur/testing/gateway_fixture.cpp
@@ -0,0 +1,113 @@
+#include "tanagerspur/testing/gateway_fixture.hpp"
+
+#include "platform/header_names.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <cppunit/TestAssert.h>
+
+namespace tanagerspur::testing
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+const std::string configuration =
+    R"({"version":7,"routes":[{"name":"r","host":"h.example","prefix":"/c/","type":"idempotent",)"
+    R"("timeout-ms":1500,"target-latency-ms":250,"priority":1,"max-attempts":2,"service":"z"},)"
+    R"({"name":"o","host":"h.example","prefix":"/once/","type":"non_idempotent",)"
+    R"("timeout-ms":1500,"target-latency-ms":250,"priority":1,"max-attempts":2,"service":"z"}],)"
+    R"("services":[{"name":"z","health-path":"/health","max-connections":26}],)"
+    R"("limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,)"
+    R"("idle-timeout-ms":15000}})";
+
+} // namespace
+
+gateway_fixture::gateway_fixture()
+    : m_store(m_io)
+{
+    m_store.page_size = 100;
+    m_store.set(platform::configuration_key_name, configuration);
+}
+
+gateway_fixture::~gateway_fixture() = default;
+
+void gateway_fixture::add_replica(const std::string& id, scripted_server::script script)
+{
+    auto answer = [this, id, script = std::move(script)](const std::string& head)
+    {
+        m_arrivals[id].push_back(boot_now());
+        scripted_answer made = script(head);
+        const std::string request = field_of(head, "X-Request-Id");
+        if (made.bytes.empty())
+            made.bytes = "HTTP/1.1 200 OK\r\n";
+        made.bytes += "X-Request-Id: " + request + "\r\nX-Response-Seal: s-" + request +
+                      "\r\nContent-Length: 2\r\n\r\nok";
+        return made;
+    };
+    m_replicas.push_back({id, std::make_unique<scripted_server>(m_io, std::move(answer))});
+    put_entry(id, 1);
+}
+
+void gateway_fixture::put_entry(const std::string& id, std::uint64_t started_ms)
+{
+    for (const scripted_replica& each : m_replicas)
+        if (each.id == id)
+            m_store.set(platform::replica_prefix + id,
+                        boost::json::serialize(
+                            boost::json::object{{"service", "z"},
+                                                {"address", to_string(each.server->address())},
+                                                {"zone", "a"},
+                                                {"version", "v1"},
+                                                {"slots", 4},
+                                                {"state", "ready"},
+                                                {"warmup-left-ms", 0},
+                                                {"seq", 1},
+                                                {"born", started_ms}}));
+}
+
+endpoint gateway_fixture::free_endpoint()
+{
+    const tcp::acceptor probe(m_io, tcp::endpoint{asio::ip::address_v4::loopback(), 0});
+    return {.address = "127.0.0.1", .port = probe.local_endpoint().port()};
+}
+
+void gateway_fixture::start()
+{
+    gateway_settings settings{.id = host_id{"h"}, .zone = zone_id{"a"}};
+    m_callers = free_endpoint();
+    settings.callers = m_callers;
+    settings.peers = free_endpoint();
+    m_gateway =
+        std::make_unique<gateway>(m_io, settings, platform::make_header_names(), m_codec, m_store);
+    CPPUNIT_ASSERT_EQUAL(std::string{}, m_gateway->start());
+    CPPUNIT_ASSERT(run_until(m_io, [this] { return m_gateway->is_ready(); }));
+}
+
+std::string gateway_fixture::request(const std::string& path)
+{
+    tcp::socket caller{m_io};
+    caller.connect({asio::ip::make_address(m_callers.address), m_callers.port});
+    asio::write(caller, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: h.example\r\n" +
+                                     "X-Request-Id: q" + std::to_string(m_next_request++) +
+                                     "\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n\r\n"));
+    std::string answer;
+    bool is_over = false;
+    asio::async_read(caller, asio::dynamic_buffer(answer),
+                     [&](boost::system::error_code, std::size_t) { is_over = true; });
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return is_over; }));
+    return answer;
+}
+
+void gateway_fixture::run_for(duration time)
+{
+    m_io.restart();
+    m_io.run_for(time);
+}
+
+} // namespace tanagerspur::testing
--- a/tanagerspur/testing/registry_test.cpp
+++ b/tanagerspur/testing/registry_test.cpp
@@ -42,7 +42,14 @@
         m_last = why;
     }
 
+    void replica_leaving(const replica& which) override
+    {
+        CPPUNIT_ASSERT(m_present.contains(which.number));
+        ++m_leaving;
+    }
+
     std::set<std::uint64_t> m_present;
+    int m_leaving = 0;
     removal m_last = removal::removed;
 };
 
@@ -52,6 +59,8 @@
 {
     CPPUNIT_TEST_SUITE(registry_test);
     CPPUNIT_TEST(stops_using_draining_replica_immediately);
+    CPPUNIT_TEST(leaving_incarnation_is_dropped_while_store_is_lost);
+    CPPUNIT_TEST(leaving_incarnation_does_not_return_with_its_entry);
     CPPUNIT_TEST(drops_removed_replica_immediately_if_others_remain);
     CPPUNIT_TEST(keeps_last_replica_for_grace_period_only);
     CPPUNIT_TEST(brief_loss_of_store_does_not_extend_grace_period);
@@ -82,6 +91,41 @@
         CPPUNIT_ASSERT(m_recorder.m_last == removal::draining);
     }
 
+    void leaving_incarnation_is_dropped_while_store_is_lost()
+    {
+        m_registry->put(make_record("x"), at_ms(0));
+        m_registry->store_lost(at_ms(1));
+        const replica_ref x = m_registry->of_service(service_id{"desk"}).front();
+        m_registry->leaving(*x, at_ms(10));
+        // Later announcements of the same incarnation do not extend its time.
+        m_registry->leaving(*x, at_ms(2'000));
+        CPPUNIT_ASSERT_EQUAL(1, m_recorder.m_leaving);
+        CPPUNIT_ASSERT(x->may_get_work(at_ms(2'509)) && !x->may_get_work(at_ms(2'510)));
+        m_registry->tick(at_ms(2'510));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        CPPUNIT_ASSERT(m_recorder.m_last == removal::leaving);
+    }
+
+    void leaving_incarnation_does_not_return_with_its_entry()
+    {
+        m_registry->put(make_record("x", 5), at_ms(0));
+        const replica_ref first = m_registry->of_service(service_id{"desk"}).front();
+        m_registry->leaving(*first, at_ms(0));
+        m_registry->tick(at_ms(3'000));
+        m_registry->put(make_record("x", 5), at_ms(3'001));
+        // Its entry lapses while the store is unavailable, and is written again.
+        m_registry->remove(replica_id{"x"}, at_ms(4'000));
+        m_registry->replace_all({}, at_ms(4'001));
+        m_registry->replace_all({make_record("x", 5)}, at_ms(5'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        m_registry->put(make_record("x", 6), at_ms(6'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        // An answer of the earlier incarnation that arrives late says nothing about the new one.
+        m_registry->leaving(*first, at_ms(6'001));
+        m_registry->tick(at_ms(20'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
     void drops_removed_replica_immediately_if_others_remain()
     {
         m_registry->put(make_record("x"), at_ms(0));
--- a/tanagerspur/testing/shard_simulation.cpp
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -160,6 +160,7 @@
 private:
     void replica_added(const replica& /*added*/) override {}
     void replica_left(const replica& /*left*/, removal /*why*/) override {}
+    void replica_leaving(const replica& /*which*/) override {}
 
     shard_simulation& m_simulation;
     replica_registry m_registry;
