A replica that refuses with Retry-After gets no request before that time

What callers saw: nothing was reported. A host that goes on costs it what it has not got, and costs callers one of their attempts.

Cause: the field was not read. A refusal only raised the replica's share of failures, which moves other requests elsewhere while there is an elsewhere; a retry, or the only replica of a service, was sent all the same.

Evidence: on the code before, three of the four new tests of replica_notice_test fail: two retries within 0.9 s after such a refusal, a second request to the only replica, and one to the same start under a new entry. The fourth, values that are no duration, passes before and after.

Change: what an incarnation announces in its answers (leaving, pauses) is kept in replica_restrictions, which the replica objects of one incarnation share and the registry remembers. A service whose replicas are all paused is refused at once; admission turns scatters away before any shard is asked (held_back). The date form of Retry-After is ignored, more than an hour counts as one.

--- a/tanagerspur/common/http_status.hpp
+++ b/tanagerspur/common/http_status.hpp
@@ -19,6 +19,7 @@
 inline constexpr int status_misdirected = 421;
 inline constexpr int status_fields_too_large = 431;
 inline constexpr int status_bad_gateway = 502;
+inline constexpr int status_too_many_requests = 429;
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_gateway_timeout = 504;
 
--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -25,6 +25,8 @@
         return "overloaded";
     case shard_prospect::no_free_connection:
         return "no_room";
+    case shard_prospect::held_back:
+        return "held_back";
     case shard_prospect::no_replica:
         return "no_replica";
     case shard_prospect::in_time:
@@ -176,10 +178,10 @@
 {
     leg& current_leg = current.legs[leg_index];
     const sending result = send_next(current, leg_index, attempt_kind::first, now);
-    if (result == sending::no_replica)
-        return fail_leg(current_leg, "no_replica");
     if (result == sending::sent)
         return;
+    if (result != sending::no_free_connection)
+        return fail_unsendable_leg(current_leg, result);
     ++m_counters.waited_for_connection;
     current_leg.cause = "no_room";
     current_leg.wait_until = now + max_connection_wait(*current.matched_route);
@@ -188,6 +190,13 @@
                                                             .leg = leg_index};
 }
 
+void forwarder::fail_unsendable_leg(leg& current_leg, sending result)
+{
+    if (result == sending::held_back)
+        ++m_counters.held_back;
+    fail_leg(current_leg, result == sending::held_back ? "held_back" : "no_replica");
+}
+
 duration forwarder::max_connection_wait(const route& matched_route) const
 {
     return duration{
@@ -262,8 +271,8 @@
         return;
     leg& current_leg = current.legs[first.leg];
     stop_waiting(current_leg);
-    if (result == sending::no_replica)
-        fail_leg(current_leg, "no_replica");
+    if (result != sending::sent)
+        fail_unsendable_leg(current_leg, result);
     answer_if_due(current, now);
 }
 
@@ -286,7 +295,9 @@
         [this](const replica& at) { return m_environment.has_free_connection(at); }, now);
     const replica_ref& to = chosen.to;
     if (to == nullptr)
-        return chosen.has_busy_replica ? sending::no_free_connection : sending::no_replica;
+        return chosen.has_busy_replica        ? sending::no_free_connection
+               : chosen.has_held_back_replica ? sending::held_back
+                                              : sending::no_replica;
     const std::uint64_t number = m_next_attempt++;
     m_attempts[number] = {.exchange = current.id,
                           .leg = leg_index,
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -81,6 +81,8 @@
     std::uint64_t retries = 0;
     std::uint64_t budget_denied = 0;
     std::uint64_t waited_for_connection = 0;
+    // Legs that failed because no replica wanted requests.
+    std::uint64_t held_back = 0;
     // Scatters that admission rejected before anything was sent.
     std::uint64_t rejected_by_admission = 0;
 };
@@ -295,6 +297,7 @@
     {
         sent,
         no_free_connection,
+        held_back,
         no_replica
     };
     // Sends the leg's next attempt, if a replica is available.
@@ -303,6 +306,8 @@
     void admit(exchange& current, time_point now);
     // Sends the leg's first attempt, queues the leg for a free connection, or fails it.
     void send_first(exchange& current, std::size_t leg_index, time_point now);
+    // Fails a leg to which no replica is available, whatever connections become free.
+    void fail_unsendable_leg(leg& current_leg, sending result);
     duration max_connection_wait(const route& matched_route) const;
     // Expected wait for a free connection to the service, for a leg that starts now.
     duration expected_connection_wait(const service_id& service, const route& matched_route,
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -54,8 +54,8 @@
         estimate.misdirected(now);
     else if (outcome.load)
         estimate.load_reported(*outcome.load, now);
-    if (outcome.is_leaving && !outcome.is_misdirected)
-        m_registry.leaving(*ended.to, now);
+    if (!outcome.is_misdirected)
+        m_registry.heard(*ended.to, outcome.notice, now);
     switch (outcome.result)
     {
     case attempt_result::not_sent:
--- a/tanagerspur/forwarding/messages.hpp
+++ b/tanagerspur/forwarding/messages.hpp
@@ -6,6 +6,7 @@
 #include "tanagerspur/common/ids.hpp"
 #include "tanagerspur/common/time.hpp"
 #include "tanagerspur/registry/replica_estimate.hpp"
+#include "tanagerspur/registry/replica_restrictions.hpp"
 
 #include <memory>
 #include <optional>
@@ -85,8 +86,7 @@
     attempt_result result = attempt_result::failed;
     replica_answer answer;
     std::optional<reported_load> load;
-    // The replica announced that it is leaving.
-    bool is_leaving = false;
+    replica_notice notice;
     // The address now belongs to another replica.
     bool is_misdirected = false;
     // For logs.
--- a/tanagerspur/forwarding/replica_choice.cpp
+++ b/tanagerspur/forwarding/replica_choice.cpp
@@ -36,8 +36,13 @@
     {
         const bool was_tried = std::find(request.tried->begin(), request.tried->end(),
                                          each->number) != request.tried->end();
-        if (was_tried || !each->may_get_work(now))
+        if (was_tried)
             continue;
+        if (!each->may_get_work(now))
+        {
+            best.has_held_back_replica |= each->is_held_back(now);
+            continue;
+        }
         if (request.avoids_queues && each->estimate.expected_requests(now) > each->record.slots)
             continue;
         if (!has_free_connection(*each) ||
--- a/tanagerspur/forwarding/replica_choice.hpp
+++ b/tanagerspur/forwarding/replica_choice.hpp
@@ -46,6 +46,8 @@
     // True if a replica could take the request, but this host may open no further connection to it,
     // or has an overdue attempt there that counts as unresponsive.
     bool has_busy_replica = false;
+    // True if a reachable replica wants no requests at present.
+    bool has_held_back_replica = false;
 };
 
 class replica_choice
--- a/tanagerspur/forwarding/scatter_admission.cpp
+++ b/tanagerspur/forwarding/scatter_admission.cpp
@@ -41,7 +41,11 @@
     for (const replica_ref& each : *request.shards[shard])
     {
         if (!each->may_get_work(now))
+        {
+            if (each->is_held_back(now) && best == shard_prospect::no_replica)
+                best = shard_prospect::held_back;
             continue;
+        }
         if (!has_connection_in_time(request, shard))
             return shard_prospect::no_free_connection;
         if (answers_in_time(*each, request, now))
@@ -65,7 +69,7 @@
     const std::size_t unreachable = count(shard_prospect::no_replica);
     if (unreachable > max_missing)
         verdict.outcome = admission::no_replica;
-    else if (unreachable + count(shard_prospect::too_busy) +
+    else if (unreachable + count(shard_prospect::held_back) + count(shard_prospect::too_busy) +
                  count(shard_prospect::no_free_connection) >
              max_missing)
         verdict.outcome = admission::overloaded;
--- a/tanagerspur/forwarding/scatter_admission.hpp
+++ b/tanagerspur/forwarding/scatter_admission.hpp
@@ -52,7 +52,7 @@
 {
     admitted,
     no_replica, // too many shards have no reachable replica
-    overloaded  // too many shards are too busy or have no free connection in time
+    overloaded  // too many shards are too busy, held back, or have no free connection in time
 };
 
 enum class shard_prospect
@@ -60,6 +60,7 @@
     in_time,
     too_busy,           // queues too long, or no answer expected before the deadline
     no_free_connection, // no connection expected to become free in time
+    held_back,          // no replica wants requests at present
     no_replica          // no reachable replica
 };
 
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -85,9 +85,12 @@
 
     void reachability_changed(const host_id& id, reachability current) override;
 
+    // Number of other replicas of the same service.
+    std::size_t others_of(const replica& which) const;
     void replica_added(const replica& added) override;
     void replica_left(const replica& left, removal why) override;
     void replica_leaving(const replica& which) override;
+    void replica_paused(const replica& which, duration pause) override;
 
     void send(const attempt_order& order) override { m_pool.send(order); }
     void abort_at(std::uint64_t attempt, time_point end) override { m_pool.abort_at(attempt, end); }
@@ -152,6 +155,8 @@
     std::uint64_t m_hosts_lost = 0;
     // Replicas that announced in an answer that they are leaving.
     std::uint64_t m_replicas_leaving = 0;
+    // Answers of replicas that wanted no requests for a while.
+    std::uint64_t m_replica_pauses = 0;
     relay_server m_relay;
     http_server m_relay_http;
     overload_detector m_overload_detector;
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -41,6 +41,7 @@
     text.add("attempts_extra_total", {{"why", "retry"}}, counts.retries);
     text.add("attempts_denied_by_budget_total", counts.budget_denied);
     text.add("scatters_turned_away_total", counts.rejected_by_admission);
+    text.add("legs_held_back_total", counts.held_back);
     text.add("legs_waited_for_room_total", counts.waited_for_connection);
     text.add("legs_waiting_for_room", m_forwarder.legs_waiting_for_connection());
     text.add("requests_under_way", m_forwarder.open_exchanges());
@@ -75,6 +76,7 @@
     text.add("caller_connections", m_ingress.open_sessions());
     text.add("replicas", m_registry.size());
     text.add("replicas_leaving_total", m_replicas_leaving);
+    text.add("replica_pauses_total", m_replica_pauses);
     text.add("hosts_ready", m_directory.ready_hosts());
     text.add("hosts_watched", m_host_monitor.watched());
     text.add("hosts_unreachable", m_host_monitor.unreachable());
@@ -135,6 +137,7 @@
                     {"failure_share", each->estimate.failure_share(now)},
                     {"in_flight", each->estimate.in_flight()},
                     {"is_leaving", each->is_leaving()},
+                    {"is_held_back", each->is_held_back(now)},
                     {"is_reachable", each->estimate.is_reachable(now)}});
             services.push_back(
                 boost::json::object{{"service", service.value()}, {"replicas", replicas}});
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -2,6 +2,7 @@
 
 #include "tanagerspur/gateway/gateway.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace tanagerspur
@@ -219,12 +220,30 @@
 void gateway::replica_leaving(const replica& which)
 {
     ++m_replicas_leaving;
-    m_log.write("replica_leaving",
-                {{"replica", which.record.id.value()},
-                 {"service", which.record.service.value()},
-                 {"others", std::to_string(m_registry.of_service(which.record.service).size() - 1)},
-                 {"store", m_mirror.is_connected() ? "connected" : "lost"},
-                 {"revision", std::to_string(m_mirror.as_of().value())}});
+    m_log.write("replica_leaving", {{"replica", which.record.id.value()},
+                                    {"service", which.record.service.value()},
+                                    {"others", std::to_string(others_of(which))},
+                                    {"store", m_mirror.is_connected() ? "connected" : "lost"},
+                                    {"revision", std::to_string(m_mirror.as_of().value())}});
+}
+
+void gateway::replica_paused(const replica& which, duration pause)
+{
+    ++m_replica_pauses;
+    m_log.write_limited("replica_paused",
+                        {{"replica", which.record.id.value()},
+                         {"service", which.record.service.value()},
+                         {"ms", std::to_string(pause.count() / 1000)},
+                         {"others", std::to_string(others_of(which))}},
+                        boot_now());
+}
+
+std::size_t gateway::others_of(const replica& which) const
+{
+    const std::vector<replica_ref>& replicas = m_registry.of_service(which.record.service);
+    return static_cast<std::size_t>(std::count_if(replicas.begin(), replicas.end(),
+                                                  [&which](const replica_ref& each)
+                                                  { return each.get() != &which; }));
 }
 
 void gateway::replica_left(const replica& left, removal why)
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace tanagerspur
@@ -29,6 +30,9 @@
 // chunks of a body.
 constexpr std::size_t max_line_bytes = std::size_t{64} * 1024;
 
+// Longest accepted Retry-After of a replica.
+constexpr duration max_pause = std::chrono::hours{1};
+
 std::optional<reported_load> parse_load(std::string_view text)
 {
     reported_load load;
@@ -46,6 +50,18 @@
     return load;
 }
 
+// Parses the seconds of a Retry-After field; the date that HTTP also allows is ignored.
+std::optional<duration> parse_pause(std::string_view text)
+{
+    double seconds = 0;
+    const auto [stop, code] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    const bool is_number = code == std::errc{} && stop == text.data() + text.size();
+    if (!is_number || !(seconds > 0))
+        return std::nullopt;
+    return std::chrono::duration_cast<duration>(
+        std::min(std::chrono::duration<double>{seconds}, std::chrono::duration<double>{max_pause}));
+}
+
 } // namespace
 
 replica_connection::replica_connection(asio::io_context& io, const wire_header_names& header_names,
@@ -228,8 +244,11 @@
     auto& message = m_parser->get();
     attempt_outcome outcome{.result = attempt_result::answered};
     outcome.load = parse_load(field(m_header_names.load));
-    outcome.is_leaving = field(m_header_names.leaving) == "1";
     outcome.answer.status = static_cast<int>(message.result_int());
+    outcome.notice.is_leaving = field(m_header_names.leaving) == "1";
+    if (outcome.answer.status == status_unavailable ||
+        outcome.answer.status == status_too_many_requests)
+        outcome.notice.pause = parse_pause(field("Retry-After"));
     outcome.is_misdirected = outcome.answer.status == status_misdirected;
     if (outcome.is_misdirected || !field(m_header_names.not_run).empty())
         outcome.result = attempt_result::refused;
--- a/tanagerspur/operations/explain.cpp
+++ b/tanagerspur/operations/explain.cpp
@@ -31,6 +31,14 @@
     return events;
 }
 
+// Events that change what a host may send to a replica.
+const std::set<std::string>& replica_events()
+{
+    static const std::set<std::string> events{"replica_added", "replica_left", "replica_leaving",
+                                              "replica_paused"};
+    return events;
+}
+
 // Parses the value that begins at a position, and moves the position past it.
 std::string take_value(const std::string& text, std::size_t& at)
 {
@@ -84,8 +92,7 @@
         if (kind != state_events().end())
             states[kind->second] = &each;
         const auto service = each.fields.find("service");
-        const bool is_replica = each.event == "replica_left" || each.event == "replica_added" ||
-                                each.event == "replica_leaving";
+        const bool is_replica = replica_events().contains(each.event);
         if (is_replica && service != each.fields.end() && services.contains(service->second))
             replicas.push_back(&each);
     }
--- a/tanagerspur/registry/replica_registry.cpp
+++ b/tanagerspur/registry/replica_registry.cpp
@@ -46,7 +46,7 @@
         return;
     }
     if (found == m_by_id.end())
-        return has_left(record) ? void() : add(record, now);
+        return add(record, now);
     replica_record& known = found->second->record;
     const bool is_same = known.started_ms == record.started_ms && known.address == record.address &&
                          known.service == record.service;
@@ -61,8 +61,13 @@
 
 void replica_registry::add(const replica_record& record, time_point now)
 {
+    const std::shared_ptr<replica_restrictions> restrictions = known_restrictions(record);
+    if (restrictions != nullptr && restrictions->is_leaving())
+        return;
     auto made = std::make_shared<replica>();
     made->record = record;
+    if (restrictions != nullptr)
+        made->restrictions = restrictions;
     made->number = m_next_number++;
     made->estimate.set_warm_up_end(now + record.warmup_left);
     m_by_id[record.id] = made;
@@ -82,20 +87,35 @@
     m_observer.replica_left(*left, why);
 }
 
-void replica_registry::leaving(replica& which, time_point now)
+void replica_registry::heard(replica& from, const replica_notice& notice, time_point now)
 {
-    const auto found = m_by_id.find(which.record.id);
-    if (which.is_leaving() || found == m_by_id.end() || found->second.get() != &which)
+    if (!notice.is_leaving && !notice.pause)
         return;
-    which.leaves_at = now + m_options.leaving_grace;
-    m_left[which.record.id] = {.started_ms = which.record.started_ms, .announced = now};
-    m_observer.replica_leaving(which);
+    // An answer of an earlier incarnation says nothing about the current one.
+    const auto latest = m_started_ms.find(from.record.id);
+    if (latest != m_started_ms.end() && latest->second != from.record.started_ms)
+        return;
+    m_restricted[from.record.id] = {
+        .started_ms = from.record.started_ms, .announced = now, .restrictions = from.restrictions};
+    if (notice.pause)
+    {
+        from.restrictions->pause(now + *notice.pause);
+        m_observer.replica_paused(from, *notice.pause);
+    }
+    if (notice.is_leaving && !from.is_leaving())
+    {
+        from.restrictions->leave(now + m_options.leaving_grace);
+        m_observer.replica_leaving(from);
+    }
 }
 
-bool replica_registry::has_left(const replica_record& record) const
+std::shared_ptr<replica_restrictions>
+replica_registry::known_restrictions(const replica_record& record) const
 {
-    const auto found = m_left.find(record.id);
-    return found != m_left.end() && found->second.started_ms == record.started_ms;
+    const auto found = m_restricted.find(record.id);
+    return found != m_restricted.end() && found->second.started_ms == record.started_ms
+               ? found->second.restrictions
+               : nullptr;
 }
 
 bool replica_registry::is_in_grace_period(time_point now) const
@@ -106,9 +126,9 @@
 void replica_registry::remove(const replica_id& id, time_point now)
 {
     // Without a time of start, an incarnation ends with its entry.
-    const auto left = m_left.find(id);
-    if (left != m_left.end() && left->second.started_ms == 0)
-        m_left.erase(left);
+    const auto restricted = m_restricted.find(id);
+    if (restricted != m_restricted.end() && restricted->second.started_ms == 0)
+        m_restricted.erase(restricted);
     const auto found = m_by_id.find(id);
     if (found == m_by_id.end() || m_missing.contains(id))
         return;
@@ -132,12 +152,12 @@
         remove(id, now);
     std::erase_if(m_started_ms, [&](const auto& each)
                   { return !listed.contains(each.first) && !m_by_id.contains(each.first); });
-    std::erase_if(m_left,
+    std::erase_if(m_restricted,
                   [&](const auto& each)
                   {
                       return !listed.contains(each.first) && !m_by_id.contains(each.first) &&
                              (each.second.started_ms == 0 ||
-                              now - each.second.announced > m_options.left_memory);
+                              now - each.second.announced > m_options.restriction_memory);
                   });
     for (const replica_record& each : records)
         put(each, now);
@@ -166,10 +186,10 @@
 void replica_registry::tick(time_point now)
 {
     std::vector<replica_id> left_ids;
-    for (const auto& [id, left] : m_left)
+    for (const auto& [id, restricted] : m_restricted)
     {
         const auto found = m_by_id.find(id);
-        if (found != m_by_id.end() && now >= found->second->leaves_at)
+        if (found != m_by_id.end() && found->second->restrictions->has_left(now))
             left_ids.push_back(id);
     }
     for (const replica_id& id : left_ids)
--- a/tanagerspur/registry/replica_registry.hpp
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -14,6 +14,7 @@
 #include "tanagerspur/common/endpoint.hpp"
 #include "tanagerspur/common/ids.hpp"
 #include "tanagerspur/registry/replica_estimate.hpp"
+#include "tanagerspur/registry/replica_restrictions.hpp"
 
 #include <functional>
 #include <map>
@@ -52,14 +53,14 @@
     replica_estimate estimate;
     // Distinguishes this replica object from all others of the process.
     std::uint64_t number = 0;
-    // From this time on it gets no work, because it announced that it is leaving; until then it
-    // gets what no other replica can take. never for all other replicas.
-    time_point leaves_at = never;
+    // Shared with all replica objects of the same incarnation.
+    std::shared_ptr<replica_restrictions> restrictions = std::make_shared<replica_restrictions>();
 
-    bool is_leaving() const { return leaves_at != never; }
+    bool is_leaving() const { return restrictions->is_leaving(); }
+    bool is_held_back(time_point now) const { return restrictions->is_held_back(now); }
     bool may_get_work(time_point now) const
     {
-        return now < leaves_at && estimate.is_reachable(now);
+        return !restrictions->has_left(now) && !is_held_back(now) && estimate.is_reachable(now);
     }
 };
 
@@ -74,9 +75,9 @@
     duration brief_loss = std::chrono::seconds{1};
     // How long a replica that announced in an answer that it is leaving may get work.
     duration leaving_grace = std::chrono::milliseconds{2'500};
-    // How long it is remembered that an incarnation has left. Its entry may lapse while the store
-    // is unavailable and be written again before it ends.
-    duration left_memory = std::chrono::minutes{10};
+    // How long the restrictions of an incarnation without an entry are remembered. Its entry may
+    // lapse while the store is unavailable and be written again before it ends.
+    duration restriction_memory = std::chrono::minutes{10};
 };
 
 // Why a replica left the registry; for logs.
@@ -98,8 +99,10 @@
     virtual ~registry_observer() = default;
     virtual void replica_added(const replica& added) = 0;
     virtual void replica_left(const replica& left, removal why) = 0;
-    // It announced in an answer that it is leaving. replica_left follows.
+    // It announced in an answer that it is leaving. replica_left follows, unless it came before.
     virtual void replica_leaving(const replica& which) = 0;
+    // It turned a request away and gets no work for this long.
+    virtual void replica_paused(const replica& which, duration pause) = 0;
 };
 
 class replica_registry
@@ -113,9 +116,9 @@
     // An entry was removed or became invalid.
     void remove(const replica_id& id, time_point now);
 
-    // The replica announced in an answer that it is leaving. This holds for its incarnation,
+    // The replica announced something about itself in an answer. This holds for its incarnation,
     // whatever its entry says.
-    void leaving(replica& which, time_point now);
+    void heard(replica& from, const replica_notice& notice, time_point now);
 
     // The complete list was read: entries that are not in it are removed.
     void replace_all(const std::vector<replica_record>& records, time_point now);
@@ -136,13 +139,15 @@
     void add(const replica_record& record, time_point now);
     void remove_now(const replica_id& id, removal why);
     bool is_in_grace_period(time_point now) const;
-    bool has_left(const replica_record& record) const;
+    // Returns null if the incarnation has announced nothing.
+    std::shared_ptr<replica_restrictions> known_restrictions(const replica_record& record) const;
 
-    // An incarnation that announced that it is leaving.
-    struct left_incarnation
+    // An incarnation that announced a restriction.
+    struct restricted_incarnation
     {
         std::uint64_t started_ms = 0;
         time_point announced;
+        std::shared_ptr<replica_restrictions> restrictions;
     };
 
     registry_options m_options;
@@ -154,7 +159,7 @@
     // Start of the latest incarnation of each id, so that a late write of an earlier one is
     // ignored.
     std::map<replica_id, std::uint64_t> m_started_ms;
-    std::map<replica_id, left_incarnation> m_left;
+    std::map<replica_id, restricted_incarnation> m_restricted;
     bool m_store_lost = false;
     time_point m_lost_at{};
     time_point m_grace_end{};
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -287,6 +287,7 @@
     void replica_added(const replica&) override {}
     void replica_left(const replica&, removal) override {}
     void replica_leaving(const replica&) override {}
+    void replica_paused(const replica&, duration) override {}
 
     void check_repeat(const request_trace& trace, const std::vector<std::uint64_t>& before) const
     {
--- a/tanagerspur/testing/gateway_fixture.cpp
+++ b/tanagerspur/testing/gateway_fixture.cpp
@@ -71,6 +71,11 @@
                                                 {"born", started_ms}}));
 }
 
+void gateway_fixture::remove_entry(const std::string& id)
+{
+    m_store.erase(platform::replica_prefix + id);
+}
+
 endpoint gateway_fixture::free_endpoint()
 {
     const tcp::acceptor probe(m_io, tcp::endpoint{asio::ip::address_v4::loopback(), 0});
--- a/tanagerspur/testing/gateway_fixture.hpp
+++ b/tanagerspur/testing/gateway_fixture.hpp
@@ -29,6 +29,8 @@
     // Writes the replica's entry; started_ms distinguishes its incarnations.
     void put_entry(const std::string& id, std::uint64_t started_ms);
 
+    void remove_entry(const std::string& id);
+
     // Starts the gateway and waits until it is ready.
     void start();
 
--- a/tanagerspur/testing/registry_test.cpp
+++ b/tanagerspur/testing/registry_test.cpp
@@ -48,8 +48,11 @@
         ++m_leaving;
     }
 
+    void replica_paused(const replica& /*which*/, duration /*pause*/) override { ++m_pauses; }
+
     std::set<std::uint64_t> m_present;
     int m_leaving = 0;
+    int m_pauses = 0;
     removal m_last = removal::removed;
 };
 
@@ -96,9 +99,9 @@
         m_registry->put(make_record("x"), at_ms(0));
         m_registry->store_lost(at_ms(1));
         const replica_ref x = m_registry->of_service(service_id{"desk"}).front();
-        m_registry->leaving(*x, at_ms(10));
+        m_registry->heard(*x, {.is_leaving = true}, at_ms(10));
         // Later announcements of the same incarnation do not extend its time.
-        m_registry->leaving(*x, at_ms(2'000));
+        m_registry->heard(*x, {.is_leaving = true}, at_ms(2'000));
         CPPUNIT_ASSERT_EQUAL(1, m_recorder.m_leaving);
         CPPUNIT_ASSERT(x->may_get_work(at_ms(2'509)) && !x->may_get_work(at_ms(2'510)));
         m_registry->tick(at_ms(2'510));
@@ -110,7 +113,7 @@
     {
         m_registry->put(make_record("x", 5), at_ms(0));
         const replica_ref first = m_registry->of_service(service_id{"desk"}).front();
-        m_registry->leaving(*first, at_ms(0));
+        m_registry->heard(*first, {.is_leaving = true}, at_ms(0));
         m_registry->tick(at_ms(3'000));
         m_registry->put(make_record("x", 5), at_ms(3'001));
         // Its entry lapses while the store is unavailable, and is written again.
@@ -121,7 +124,7 @@
         m_registry->put(make_record("x", 6), at_ms(6'000));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
         // An answer of the earlier incarnation that arrives late says nothing about the new one.
-        m_registry->leaving(*first, at_ms(6'001));
+        m_registry->heard(*first, {.is_leaving = true}, at_ms(6'001));
         m_registry->tick(at_ms(20'000));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
     }
--- a/tanagerspur/testing/replica_notice_test.cpp
+++ b/tanagerspur/testing/replica_notice_test.cpp
@@ -17,6 +17,8 @@
 using testing::gateway_fixture;
 using testing::scripted_answer;
 
+const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n";
+
 // An answer with further header fields.
 scripted_answer with(const std::string& fields)
 {
@@ -41,6 +43,10 @@
     CPPUNIT_TEST(leaving_replica_gets_no_request_while_others_serve);
     CPPUNIT_TEST(last_leaving_replica_serves_until_its_drain_ends);
     CPPUNIT_TEST(entry_of_a_leaving_replica_does_not_bring_it_back);
+    CPPUNIT_TEST(replica_with_retry_after_gets_no_request_before_that_time);
+    CPPUNIT_TEST(callers_are_refused_at_once_while_only_replica_is_paused);
+    CPPUNIT_TEST(new_entry_does_not_end_pause);
+    CPPUNIT_TEST(retry_after_that_is_no_duration_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -92,7 +98,99 @@
         CPPUNIT_ASSERT(is_success(m_gateway->request()));
     }
 
+    void replica_with_retry_after_gets_no_request_before_that_time()
+    {
+        add_refusing_replica("0.9");
+        // Retries of what it refuses have no other replica left.
+        m_gateway->add_replica("other",
+                               [this](const std::string&)
+                               {
+                                   const bool refuses =
+                                       m_gateway->m_arrivals["other"].size() % 2 == 0;
+                                   return refuses ? scripted_answer{refusal} : with("");
+                               });
+        m_gateway->start();
+        for (int i = 0; i < 100 && m_gateway->m_arrivals["refusing"].size() < 3; ++i)
+        {
+            m_gateway->request();
+            m_gateway->run_for(milliseconds{25});
+        }
+        CPPUNIT_ASSERT(m_gateway->m_arrivals["refusing"].size() >= 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, early_arrivals(milliseconds{900}));
+    }
+
+    void callers_are_refused_at_once_while_only_replica_is_paused()
+    {
+        add_refusing_replica("1");
+        m_gateway->start();
+        const time_point begun = boot_now();
+        for (const std::string path : {"/c/x", "/once/x"})
+            CPPUNIT_ASSERT(m_gateway->request(path).starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway->m_arrivals["refusing"].size());
+        CPPUNIT_ASSERT(boot_now() - begun < milliseconds{250});
+        m_gateway->run_for(milliseconds{1'100});
+        m_gateway->request();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway->m_arrivals["refusing"].size());
+    }
+
+    void new_entry_does_not_end_pause()
+    {
+        add_refusing_replica("30");
+        m_gateway->add_replica("other", plain);
+        m_gateway->start();
+        while (m_gateway->m_arrivals["refusing"].empty())
+            m_gateway->request();
+        m_gateway->remove_entry("refusing");
+        m_gateway->run_for(milliseconds{200});
+        m_gateway->put_entry("refusing", 1);
+        m_gateway->run_for(milliseconds{200});
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT(is_success(m_gateway->request()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gateway->m_arrivals["refusing"].size());
+        // Another incarnation has not asked for a pause.
+        m_gateway->put_entry("refusing", 2);
+        m_gateway->run_for(milliseconds{200});
+        for (int i = 0; i < 40 && m_gateway->m_arrivals["refusing"].size() < 2; ++i)
+            m_gateway->request();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_gateway->m_arrivals["refusing"].size());
+    }
+
+    void retry_after_that_is_no_duration_is_ignored()
+    {
+        for (const std::string value :
+             {"", "-5", "soon", "5s", "nan", "Fri, 04 Dec 2026 23:59:59 GMT"})
+        {
+            setUp();
+            add_refusing_replica(value);
+            m_gateway->start();
+            for (int i = 0; i < 3; ++i)
+            {
+                m_gateway->request();
+                m_gateway->run_for(milliseconds{20});
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, std::size_t{3},
+                                         m_gateway->m_arrivals["refusing"].size());
+        }
+    }
+
 private:
+    void add_refusing_replica(const std::string& retry_after)
+    {
+        m_gateway->add_replica(
+            "refusing", [retry_after](const std::string&)
+            { return scripted_answer{refusal + "Retry-After: " + retry_after + "\r\n"}; });
+    }
+
+    // Number of requests that reached the refusing replica within the time after an earlier one.
+    std::size_t early_arrivals(duration pause)
+    {
+        const std::vector<time_point>& times = m_gateway->m_arrivals["refusing"];
+        std::size_t early = 0;
+        for (std::size_t i = 1; i < times.size(); ++i)
+            early += times[i] - times[i - 1] < pause ? 1 : 0;
+        return early;
+    }
+
     std::unique_ptr<gateway_fixture> m_gateway;
 };
 
--- a/tanagerspur/testing/scatter_admission_test.cpp
+++ b/tanagerspur/testing/scatter_admission_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(matches_reference_count_of_shards);
     CPPUNIT_TEST(rejects_scatter_that_cannot_meet_deadline);
     CPPUNIT_TEST(counts_shards_without_free_connection_as_overloaded);
+    CPPUNIT_TEST(rejects_scatter_whose_replicas_want_no_requests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +89,24 @@
         CPPUNIT_ASSERT(scatter_admission{}.decide(wanted, now()).outcome == admission::overloaded);
     }
 
+    void rejects_scatter_whose_replicas_want_no_requests()
+    {
+        const std::vector<replica_ref> shard = {make_replica(0, true), make_replica(0, false)};
+        const std::vector<replica_ref> others = {make_replica(0, true)};
+        shard[0]->restrictions->pause(now() + std::chrono::milliseconds{1});
+        const admission_request wanted{.shards = {&shard, &others},
+                                       .needed = 2,
+                                       .typical = typical,
+                                       .objective_left = objective,
+                                       .time_left = std::chrono::milliseconds{400}};
+        const admission_verdict paused = scatter_admission{}.decide(wanted, now());
+        CPPUNIT_ASSERT(paused.outcome == admission::overloaded);
+        CPPUNIT_ASSERT(paused.shards[0] == shard_prospect::held_back);
+        CPPUNIT_ASSERT(paused.shards[1] == shard_prospect::in_time);
+        const time_point after = now() + std::chrono::milliseconds{1};
+        CPPUNIT_ASSERT(scatter_admission{}.decide(wanted, after).outcome == admission::admitted);
+    }
+
     void counts_shards_without_free_connection_as_overloaded()
     {
         const std::vector<replica_ref> shard = {make_replica(0, true)};
--- a/tanagerspur/testing/shard_simulation.cpp
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -161,6 +161,7 @@
     void replica_added(const replica& /*added*/) override {}
     void replica_left(const replica& /*left*/, removal /*why*/) override {}
     void replica_leaving(const replica& /*which*/) override {}
+    void replica_paused(const replica& /*which*/, duration /*pause*/) override {}
 
     shard_simulation& m_simulation;
     replica_registry m_registry;
