Hosts together keep to the limit that a replica names

Cause: no code read the field.

Change: a limit becomes part of the restrictions of an incarnation. Hosts divide it evenly among those that are advertised, without asking each other. request_rate_limiter gives each host permits at regular times that lapse after a second: hosts that were idle can then send together at most what five seconds allow in any four, whatever their number, while a bucket that holds at least one request for each of fifty hosts would exceed a small limit. Requests beyond it go to other replicas, or are refused at once. Hedges avoid such replicas. Only complete answers change a limit.

Tests: request_rate_limiter_test checks the users' bound over 1 to 60 hosts under generated loads. replica_gets_no_more_requests_than_its_limit_allows and hosts_divide_limit_of_replica fail on the code before, the property of forwarder_test covers all three restrictions on any schedule.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -284,11 +284,12 @@
     const auto failure_cost = duration{static_cast<duration::rep>(
         m_options.failure_cost *
         static_cast<double>(current.matched_route->latency_objective.count()))};
-    // A hedge that waits in a queue would delay the first attempts of other requests.
+    // A hedge that waits in a queue would delay the first attempts of other requests, and one to a
+    // replica with a limit would take what they need.
     const choice_request wanted{.typical = typical,
                                 .failure_cost = failure_cost,
                                 .tried = &current_leg.tried,
-                                .avoids_queues = kind == attempt_kind::hedge,
+                                .is_hedge = kind == attempt_kind::hedge,
                                 .unresponsive_after = unresponsive_after(*current.matched_route)};
     const choice chosen = m_choice.choose(
         m_registry.of_service(current_leg.service), wanted,
@@ -306,6 +307,7 @@
                           .typical = typical,
                           .sent = now};
     to->estimate.attempt_sent(number, now, typical, to->record.slots);
+    to->restrictions->sent(now);
     current_leg.tried.push_back(to->number);
     current_leg.attempts_in_flight.push_back(number);
     ++current_leg.attempts_sent;
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -54,7 +54,9 @@
         estimate.misdirected(now);
     else if (outcome.load)
         estimate.load_reported(*outcome.load, now);
-    if (!outcome.is_misdirected)
+    const bool is_answer =
+        outcome.result == attempt_result::answered || outcome.result == attempt_result::refused;
+    if (is_answer && !outcome.is_misdirected)
         m_registry.heard(*ended.to, outcome.notice, now);
     switch (outcome.result)
     {
--- a/tanagerspur/forwarding/replica_choice.cpp
+++ b/tanagerspur/forwarding/replica_choice.cpp
@@ -43,7 +43,9 @@
             best.has_held_back_replica |= each->is_held_back(now);
             continue;
         }
-        if (request.avoids_queues && each->estimate.expected_requests(now) > each->record.slots)
+        const bool has_room_for_hedge = !each->restrictions->limit() &&
+                                        each->estimate.expected_requests(now) <= each->record.slots;
+        if (request.is_hedge && !has_room_for_hedge)
             continue;
         if (!has_free_connection(*each) ||
             !each->estimate.accepts_another(now, request.unresponsive_after))
--- a/tanagerspur/forwarding/replica_choice.hpp
+++ b/tanagerspur/forwarding/replica_choice.hpp
@@ -33,8 +33,9 @@
     duration failure_cost{0};
     // Numbers of the replicas that already got an attempt of this request.
     const std::vector<std::uint64_t>* tried = nullptr;
-    // If true, replicas at which requests are expected to wait in a queue are left out.
-    bool avoids_queues = false;
+    // If true, replicas at which requests are expected to wait in a queue are left out, and those
+    // that limit the rate of requests.
+    bool is_hedge = false;
     // A replica with an attempt that is overdue by more than this gets no further attempt.
     duration unresponsive_after = duration::max();
 };
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -36,7 +36,8 @@
     , m_store(io, store)
     , m_log("gateway")
     , m_attempt_log("attempts")
-    , m_registry({.leaving_grace = m_settings.drain - std::min(m_settings.drain, drain_margin)},
+    , m_registry({.leaving_grace = m_settings.drain - std::min(m_settings.drain, drain_margin),
+                  .seed = std::hash<std::string>{}(m_settings.id.value()) + 2},
                  *this)
     , m_pool(io, m_header_names,
              [this](std::uint64_t attempt, attempt_outcome outcome)
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -91,6 +91,7 @@
     void replica_left(const replica& left, removal why) override;
     void replica_leaving(const replica& which) override;
     void replica_paused(const replica& which, duration pause) override;
+    void replica_limited(const replica& which, std::optional<request_rate> limit) override;
 
     void send(const attempt_order& order) override { m_pool.send(order); }
     void abort_at(std::uint64_t attempt, time_point end) override { m_pool.abort_at(attempt, end); }
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -11,6 +11,17 @@
 namespace tanagerspur
 {
 
+namespace
+{
+
+boost::json::value limit_of(const replica& of)
+{
+    const std::optional<request_rate> limit = of.restrictions->limit();
+    return limit ? boost::json::value{limit->per_second} : boost::json::value{};
+}
+
+} // namespace
+
 std::string gateway::metrics() const
 {
     metrics_text text;
@@ -77,6 +88,7 @@
     text.add("replicas", m_registry.size());
     text.add("replicas_leaving_total", m_replicas_leaving);
     text.add("replica_pauses_total", m_replica_pauses);
+    text.add("replicas_limited", m_registry.limited());
     text.add("hosts_ready", m_directory.ready_hosts());
     text.add("hosts_watched", m_host_monitor.watched());
     text.add("hosts_unreachable", m_host_monitor.unreachable());
@@ -138,6 +150,7 @@
                     {"in_flight", each->estimate.in_flight()},
                     {"is_leaving", each->is_leaving()},
                     {"is_held_back", each->is_held_back(now)},
+                    {"limit_per_s", limit_of(*each)},
                     {"is_reachable", each->estimate.is_reachable(now)}});
             services.push_back(
                 boost::json::object{{"service", service.value()}, {"replicas", replicas}});
@@ -157,6 +170,7 @@
                {"configuration_version", m_table ? m_table->version().value() : 0},
                {"store_connected", m_mirror.is_connected()},
                {"store_revision", m_mirror.as_of().value()},
+               {"limit_share", m_registry.limit_share()},
                {"known_hosts", m_directory.known_hosts()},
                {"ready_hosts", m_directory.ready_hosts()},
                {"under_way", m_forwarder.open_exchanges()},
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -238,6 +238,17 @@
                         boot_now());
 }
 
+void gateway::replica_limited(const replica& which, std::optional<request_rate> limit)
+{
+    m_log.write_limited(limit ? "replica_limited" : "replica_limit_ended",
+                        {{"replica", which.record.id.value()},
+                         {"service", which.record.service.value()},
+                         {"per_s", std::to_string(limit ? limit->per_second : 0)},
+                         {"share", std::to_string(m_registry.limit_share())},
+                         {"others", std::to_string(others_of(which))}},
+                        boot_now());
+}
+
 std::size_t gateway::others_of(const replica& which) const
 {
     const std::vector<replica_ref>& replicas = m_registry.of_service(which.record.service);
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace tanagerspur
 {
@@ -50,16 +51,23 @@
     return load;
 }
 
+// Parses a finite decimal number that is not negative.
+std::optional<double> parse_decimal(std::string_view text)
+{
+    double value = 0;
+    const auto [stop, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool is_number = code == std::errc{} && stop == text.data() + text.size();
+    return is_number && std::isfinite(value) && value >= 0 ? std::optional{value} : std::nullopt;
+}
+
 // Parses the seconds of a Retry-After field; the date that HTTP also allows is ignored.
 std::optional<duration> parse_pause(std::string_view text)
 {
-    double seconds = 0;
-    const auto [stop, code] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    const bool is_number = code == std::errc{} && stop == text.data() + text.size();
-    if (!is_number || !(seconds > 0))
+    const std::optional<double> seconds = parse_decimal(text);
+    if (!seconds || *seconds == 0)
         return std::nullopt;
-    return std::chrono::duration_cast<duration>(
-        std::min(std::chrono::duration<double>{seconds}, std::chrono::duration<double>{max_pause}));
+    return std::chrono::duration_cast<duration>(std::min(std::chrono::duration<double>{*seconds},
+                                                         std::chrono::duration<double>{max_pause}));
 }
 
 } // namespace
@@ -246,6 +254,8 @@
     outcome.load = parse_load(field(m_header_names.load));
     outcome.answer.status = static_cast<int>(message.result_int());
     outcome.notice.is_leaving = field(m_header_names.leaving) == "1";
+    if (const auto per_second = parse_decimal(field(m_header_names.limit)))
+        outcome.notice.limit = request_rate{*per_second};
     if (outcome.answer.status == status_unavailable ||
         outcome.answer.status == status_too_many_requests)
         outcome.notice.pause = parse_pause(field("Retry-After"));
--- a/tanagerspur/net/wire_header_names.hpp
+++ b/tanagerspur/net/wire_header_names.hpp
@@ -23,6 +23,8 @@
     std::string load = "Load";
     // From a replica: it is leaving and wants no further requests.
     std::string leaving = "Leaving";
+    // From a replica: the requests per second that it takes from all hosts together.
+    std::string limit = "Limit";
     // From a replica: the request was not run.
     std::string not_run = "Not-Run";
     // To a caller: the signatures of the parts that an answer contains.
--- a/tanagerspur/operations/explain.cpp
+++ b/tanagerspur/operations/explain.cpp
@@ -34,8 +34,9 @@
 // Events that change what a host may send to a replica.
 const std::set<std::string>& replica_events()
 {
-    static const std::set<std::string> events{"replica_added", "replica_left", "replica_leaving",
-                                              "replica_paused"};
+    static const std::set<std::string> events{"replica_added",   "replica_left",
+                                              "replica_leaving", "replica_paused",
+                                              "replica_limited", "replica_limit_ended"};
     return events;
 }
 
--- a/tanagerspur/registry/replica_registry.cpp
+++ b/tanagerspur/registry/replica_registry.cpp
@@ -28,6 +28,7 @@
 replica_registry::replica_registry(registry_options options, registry_observer& observer)
     : m_options(options)
     , m_observer(observer)
+    , m_random(options.seed)
 {
 }
 
@@ -89,7 +90,7 @@
 
 void replica_registry::heard(replica& from, const replica_notice& notice, time_point now)
 {
-    if (!notice.is_leaving && !notice.pause)
+    if (!notice.is_leaving && !notice.pause && notice.limit == from.restrictions->limit())
         return;
     // An answer of an earlier incarnation says nothing about the current one.
     const auto latest = m_started_ms.find(from.record.id);
@@ -102,6 +103,8 @@
         from.restrictions->pause(now + *notice.pause);
         m_observer.replica_paused(from, *notice.pause);
     }
+    if (notice.limit != from.restrictions->limit())
+        apply_limit(from, notice.limit, now);
     if (notice.is_leaving && !from.is_leaving())
     {
         from.restrictions->leave(now + m_options.leaving_grace);
@@ -109,6 +112,30 @@
     }
 }
 
+void replica_registry::apply_limit(replica& to, std::optional<request_rate> limit, time_point now)
+{
+    if (limit)
+        to.restrictions->set_limit(*limit, m_limit_share,
+                                   std::uniform_real_distribution<>{0, 1}(m_random), now);
+    else
+        to.restrictions->remove_limit();
+    m_observer.replica_limited(to, limit);
+}
+
+void replica_registry::set_limit_share(double share, time_point now)
+{
+    m_limit_share = share;
+    for (const auto& [id, restricted] : m_restricted)
+        restricted.restrictions->set_share(share, now);
+}
+
+std::size_t replica_registry::limited() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_by_id.begin(), m_by_id.end(),
+        [](const auto& each) { return each.second->restrictions->limit().has_value(); }));
+}
+
 std::shared_ptr<replica_restrictions>
 replica_registry::known_restrictions(const replica_record& record) const
 {
--- a/tanagerspur/registry/replica_registry.hpp
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace tanagerspur
@@ -78,6 +79,8 @@
     // How long the restrictions of an incarnation without an entry are remembered. Its entry may
     // lapse while the store is unavailable and be written again before it ends.
     duration restriction_memory = std::chrono::minutes{10};
+    // Seed of the times of the first permits for replicas with a limit; differs between hosts.
+    std::uint64_t seed = 1;
 };
 
 // Why a replica left the registry; for logs.
@@ -103,6 +106,8 @@
     virtual void replica_leaving(const replica& which) = 0;
     // It turned a request away and gets no work for this long.
     virtual void replica_paused(const replica& which, duration pause) = 0;
+    // It announced another limit of requests from all hosts, or none any more.
+    virtual void replica_limited(const replica& which, std::optional<request_rate> limit) = 0;
 };
 
 class replica_registry
@@ -120,6 +125,10 @@
     // whatever its entry says.
     void heard(replica& from, const replica_notice& notice, time_point now);
 
+    // Sets which share of the limits of replicas is for this host, 0 to 1.
+    void set_limit_share(double share, time_point now);
+    double limit_share() const { return m_limit_share; }
+
     // The complete list was read: entries that are not in it are removed.
     void replace_all(const std::vector<replica_record>& records, time_point now);
 
@@ -134,11 +143,14 @@
     const std::vector<replica_ref>& of_service(const service_id& service) const;
 
     std::size_t size() const { return m_by_id.size(); }
+    // Number of replicas that have a limit.
+    std::size_t limited() const;
 
 private:
     void add(const replica_record& record, time_point now);
     void remove_now(const replica_id& id, removal why);
     bool is_in_grace_period(time_point now) const;
+    void apply_limit(replica& to, std::optional<request_rate> limit, time_point now);
     // Returns null if the incarnation has announced nothing.
     std::shared_ptr<replica_restrictions> known_restrictions(const replica_record& record) const;
 
@@ -160,6 +172,8 @@
     // ignored.
     std::map<replica_id, std::uint64_t> m_started_ms;
     std::map<replica_id, restricted_incarnation> m_restricted;
+    double m_limit_share = 1;
+    std::mt19937_64 m_random;
     bool m_store_lost = false;
     time_point m_lost_at{};
     time_point m_grace_end{};
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t replicas_of_shard = 3;
 constexpr double slack = 3;
 constexpr double ratio = 0.17;
+constexpr double limit_per_second = 20;
 
 service_id shard(std::size_t number)
 {
@@ -161,9 +162,23 @@
         if (std::exchange(m_sent.at(number).is_over, true))
             return;
         m_results[number] = outcome.result;
+        if (outcome.result == attempt_result::answered || outcome.result == attempt_result::refused)
+            record_notice(m_sent.at(number).order.to->record.id, outcome.notice);
         m_forwarder.attempt_ended(number, outcome, m_now);
     }
 
+    // The replica refuses the attempt and announces one restriction, or none.
+    void refuse(std::uint64_t number, std::uint32_t restriction)
+    {
+        attempt_outcome outcome{.result = attempt_result::refused};
+        outcome.notice.is_leaving = restriction == 1;
+        if (restriction == 2)
+            outcome.notice.pause = std::chrono::milliseconds{200};
+        if (restriction == 3)
+            outcome.notice.limit = request_rate{limit_per_second};
+        end(number, outcome);
+    }
+
     void cancel_request(std::uint64_t request)
     {
         request_trace& trace = m_traces.at(request);
@@ -202,6 +217,7 @@
         RC_ASSERT(counted <= 2U);
         m_sent[order.number].at = m_now;
         check_budget(order.to->record.service);
+        check_restrictions(order.to->record.id);
     }
 
     void abort_at(std::uint64_t attempt, time_point when) override
@@ -263,7 +279,18 @@
                                             known->second == attempt_result::refused);
     }
 
+    // What a replica has announced about itself.
+    struct announcements
+    {
+        time_point leaves_at = never;
+        time_point paused_until{};
+        // Since when it has named a limit; never if it names none.
+        time_point limited_at = never;
+        std::size_t sent_since = 0;
+    };
+
     time_point m_now{std::chrono::seconds{100}};
+    std::map<replica_id, announcements> m_announced;
     replica_registry m_registry;
     forwarder m_forwarder;
     std::shared_ptr<const route_table> m_table;
@@ -288,6 +315,7 @@
     void replica_left(const replica&, removal) override {}
     void replica_leaving(const replica&) override {}
     void replica_paused(const replica&, duration) override {}
+    void replica_limited(const replica&, std::optional<request_rate>) override {}
 
     void check_repeat(const request_trace& trace, const std::vector<std::uint64_t>& before) const
     {
@@ -313,6 +341,38 @@
         return extra;
     }
 
+    void record_notice(const replica_id& id, const replica_notice& notice)
+    {
+        announcements& known = m_announced[id];
+        if (notice.is_leaving)
+            known.leaves_at = std::min(known.leaves_at, m_now + registry_options{}.leaving_grace);
+        if (notice.pause)
+            known.paused_until = std::max(known.paused_until, m_now + *notice.pause);
+        if (!notice.limit)
+            known.limited_at = never;
+        else if (known.limited_at == never)
+        {
+            known.limited_at = m_now;
+            known.sent_since = 0;
+        }
+    }
+
+    // Checks that the replica accepts the attempt that was just sent to it.
+    void check_restrictions(const replica_id& id)
+    {
+        const auto found = m_announced.find(id);
+        if (found == m_announced.end())
+            return;
+        announcements& known = found->second;
+        RC_ASSERT(m_now < known.leaves_at);
+        RC_ASSERT(m_now >= known.paused_until);
+        if (known.limited_at == never)
+            return;
+        const duration time = m_now - known.limited_at + request_rate_limiter::permit_lifetime;
+        RC_ASSERT(++known.sent_since <=
+                  limit_per_second * std::chrono::duration<double>{time}.count() + 1);
+    }
+
     // Checks the number of extra attempts in the window that ends now.
     void check_budget(const service_id& service)
     {
@@ -376,6 +436,10 @@
             network.cancel_request(1 + each.first % (network.m_next_request - 1));
         break;
     case 6:
+        if (chosen != 0)
+            network.refuse(chosen, each.second % 4);
+        break;
+    case 7:
         network.m_registry.remove(
             simulated_network::record_of(each.first % shard_count, each.second % 3, 1).id,
             network.m_now);
@@ -398,6 +462,7 @@
     CPPUNIT_TEST(refuses_request_without_replicas_immediately);
     CPPUNIT_TEST(sends_nothing_for_scatter_without_coverage);
     CPPUNIT_TEST(hedges_paused_replica_before_objective);
+    CPPUNIT_TEST(sends_no_hedge_to_replica_with_limit);
     CPPUNIT_TEST(returns_partial_answer_by_objective);
     CPPUNIT_TEST(does_not_refuse_lost_request_that_may_have_run);
     CPPUNIT_TEST(refuses_unsent_request_at_deadline);
@@ -420,7 +485,7 @@
                 if (*rc::gen::arbitrary<bool>())
                     for (std::size_t i = 0; i < shard_count; ++i)
                         network.m_max_in_flight[shard(i)] = 1;
-                for (const testing::step& each : *testing::make_steps(8))
+                for (const testing::step& each : *testing::make_steps(9))
                     apply_step(network, each);
                 if (*rc::gen::arbitrary<bool>())
                     network.m_forwarder.expire_all(network.m_now);
@@ -476,6 +541,19 @@
                              network.m_last_missing);
     }
 
+    void sends_no_hedge_to_replica_with_limit()
+    {
+        simulated_network network;
+        warm_up(network);
+        for (const replica_ref& each : network.m_registry.of_service(shard(0)))
+            network.m_registry.heard(*each, {.limit = request_rate{1'000}}, network.m_now);
+        network.advance(std::chrono::milliseconds{10});
+        network.begin(route_kind::idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, network.open_attempts().size());
+        network.advance(std::chrono::milliseconds{40});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, network.open_attempts().size());
+    }
+
     void hedges_paused_replica_before_objective()
     {
         simulated_network network;
--- a/tanagerspur/testing/gateway_fixture.cpp
+++ b/tanagerspur/testing/gateway_fixture.cpp
@@ -76,6 +76,17 @@
     m_store.erase(platform::replica_prefix + id);
 }
 
+void gateway_fixture::add_host(const std::string& id)
+{
+    const host_record record{.id = host_id{id},
+                             .zone = zone_id{"a"},
+                             .callers = free_endpoint(),
+                             .peers = free_endpoint(),
+                             .capacity = gateway_settings{}.capacity,
+                             .is_ready = true};
+    m_store.set(m_codec.host_key(record.id), m_codec.encode_host(record));
+}
+
 endpoint gateway_fixture::free_endpoint()
 {
     const tcp::acceptor probe(m_io, tcp::endpoint{asio::ip::address_v4::loopback(), 0});
--- a/tanagerspur/testing/gateway_fixture.hpp
+++ b/tanagerspur/testing/gateway_fixture.hpp
@@ -31,6 +31,9 @@
 
     void remove_entry(const std::string& id);
 
+    // Writes the entry of another host of the same zone and capacity. The host does not run.
+    void add_host(const std::string& id);
+
     // Starts the gateway and waits until it is ready.
     void start();
 
--- a/tanagerspur/testing/registry_test.cpp
+++ b/tanagerspur/testing/registry_test.cpp
@@ -49,6 +49,9 @@
     }
 
     void replica_paused(const replica& /*which*/, duration /*pause*/) override { ++m_pauses; }
+    void replica_limited(const replica& /*which*/, std::optional<request_rate> /*limit*/) override
+    {
+    }
 
     std::set<std::uint64_t> m_present;
     int m_leaving = 0;
--- a/tanagerspur/testing/replica_notice_test.cpp
+++ b/tanagerspur/testing/replica_notice_test.cpp
@@ -47,6 +47,9 @@
     CPPUNIT_TEST(callers_are_refused_at_once_while_only_replica_is_paused);
     CPPUNIT_TEST(new_entry_does_not_end_pause);
     CPPUNIT_TEST(retry_after_that_is_no_duration_is_ignored);
+    CPPUNIT_TEST(replica_gets_no_more_requests_than_its_limit_allows);
+    CPPUNIT_TEST(hosts_divide_limit_of_replica);
+    CPPUNIT_TEST(answer_without_limit_ends_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,7 +176,78 @@
         }
     }
 
+    void replica_gets_no_more_requests_than_its_limit_allows()
+    {
+        add_limited_replica("5.0");
+        m_gateway->start();
+        const load sent = send_for(milliseconds{2'000});
+        CPPUNIT_ASSERT(sent.arrived <= 1.5 * 4 * 5 + 5);
+        CPPUNIT_ASSERT(sent.arrived >= 9);
+        CPPUNIT_ASSERT_EQUAL(sent.arrived, sent.succeeded);
+        // What the replica does not take is refused at once.
+        CPPUNIT_ASSERT(sent.slowest_refusal < milliseconds{100});
+    }
+
+    void hosts_divide_limit_of_replica()
+    {
+        add_limited_replica("20.0");
+        m_gateway->add_host("second");
+        m_gateway->start();
+        send_for(milliseconds{500});
+        const load sent = send_for(milliseconds{2'000});
+        CPPUNIT_ASSERT(sent.arrived >= 19 && sent.arrived <= 21);
+    }
+
+    void answer_without_limit_ends_it()
+    {
+        m_gateway->add_replica("limited",
+                               [this](const std::string&)
+                               {
+                                   const bool is_first =
+                                       m_gateway->m_arrivals["limited"].size() == 1;
+                                   return with(is_first ? "Server-Limit: 5\r\n" : "");
+                               });
+        m_gateway->start();
+        send_for(milliseconds{500});
+        const load sent = send_for(milliseconds{300});
+        CPPUNIT_ASSERT(sent.refused == 0 && sent.succeeded > 5);
+    }
+
 private:
+    // What became of requests that were sent one after the other.
+    struct load
+    {
+        std::size_t arrived = 0;
+        std::size_t succeeded = 0;
+        std::size_t refused = 0;
+        duration slowest_refusal{0};
+    };
+
+    load send_for(duration time)
+    {
+        load sent;
+        const std::size_t before = m_gateway->m_arrivals["limited"].size();
+        for (const time_point end = boot_now() + time; boot_now() < end;)
+        {
+            const time_point begun = boot_now();
+            if (is_success(m_gateway->request()))
+            {
+                ++sent.succeeded;
+                continue;
+            }
+            ++sent.refused;
+            sent.slowest_refusal = std::max(sent.slowest_refusal, boot_now() - begun);
+        }
+        sent.arrived = m_gateway->m_arrivals["limited"].size() - before;
+        return sent;
+    }
+
+    void add_limited_replica(const std::string& per_second)
+    {
+        m_gateway->add_replica("limited", [per_second](const std::string&)
+                               { return with("Server-Limit: " + per_second + "\r\n"); });
+    }
+
     void add_refusing_replica(const std::string& retry_after)
     {
         m_gateway->add_replica(
--- a/tanagerspur/testing/shard_simulation.cpp
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -162,6 +162,9 @@
     void replica_left(const replica& /*left*/, removal /*why*/) override {}
     void replica_leaving(const replica& /*which*/) override {}
     void replica_paused(const replica& /*which*/, duration /*pause*/) override {}
+    void replica_limited(const replica& /*which*/, std::optional<request_rate> /*limit*/) override
+    {
+    }
 
     shard_simulation& m_simulation;
     replica_registry m_registry;
