replica_pool_test: an answer that ends in its head is never complete

Ruled out here: the new test cuts answers with a length, in chunks and without either at every byte of the head, with an orderly close and with a reset. Each attempt fails; it passes on the code as it was. An answer counts as ended by a close only once its whole head has been read (replica_connection::on_read_error), and callers get only answers that were read to their end.

--- a/tanagerspur/testing/replica_pool_test.cpp
+++ b/tanagerspur/testing/replica_pool_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(rejects_answer_without_id_after_mismatched_answer);
     CPPUNIT_TEST(closes_connection_on_bytes_after_answer);
     CPPUNIT_TEST(truncated_answer_fails_attempt);
+    CPPUNIT_TEST(answer_that_ends_in_its_head_fails_attempt);
     CPPUNIT_TEST(answer_without_length_requires_orderly_close);
     CPPUNIT_TEST(success_without_signature_fails_attempt);
     CPPUNIT_TEST(reports_refusal_with_load);
@@ -159,6 +160,31 @@
         setUp();
     }
 
+    // At every byte of the head, for answers with a length, in chunks, and without either.
+    void answer_that_ends_in_its_head_fails_attempt()
+    {
+        const std::string fields = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: s\r\n";
+        for (const std::string framing :
+             {"Content-Length: 20\r\n", "Transfer-Encoding: chunked\r\n", "",
+              "Connection: close\r\n"})
+        {
+            const std::string head = fields + framing + "\r\n";
+            for (std::size_t size = 0; size < head.size(); ++size)
+                for (const auto action : {scripted_answer::connection_action::close,
+                                          scripted_answer::connection_action::reset})
+                {
+                    tearDown();
+                    setUp();
+                    serve(
+                        [&](const std::string&) {
+                            return scripted_answer{head.substr(0, size), action};
+                        });
+                    CPPUNIT_ASSERT_MESSAGE(head.substr(0, size),
+                                           run(1).result == attempt_result::failed);
+                }
+        }
+    }
+
     void answer_without_length_requires_orderly_close()
     {
         const std::string unframed =
