A stopping host passes on no request that it would have to cut

What callers see here: no connection without an answer, but a 504, which promises nothing, for a request whose work takes longer than the one second that is left when the last requests are taken. A request that is not idempotent can't be sent again after that, though another host would have served it.

Cause: until the stop closes the port, every request is passed on, whatever time is left for it.

Change: may_start_request decides it by the route's latency objective, without a network: with less than two objectives left, the request is refused with 503, so the caller goes to another host at once. Shorter routes are served as before until the port is closed.

--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "tanagerspur/common/http_status.hpp"
 #include "tanagerspur/gateway/startup_retry_after.hpp"
-#include "tanagerspur/gateway/stop_schedule.hpp"
 
 #include <algorithm>
 
@@ -106,6 +105,9 @@
         ++m_requests_without_route;
         return refuse(session, inbound, status_not_found, "no_route");
     }
+    if (m_is_stopping &&
+        !may_start_request(stop_times(), boot_now() - m_stop_requested_at, on->latency_objective))
+        return refuse(session, inbound, status_unavailable, "stopping");
     const duration round_trip =
         inbound.round_trip.count() > 0 ? inbound.round_trip : default_round_trip;
     inbound.request.network_time =
@@ -130,9 +132,11 @@
                          {"version", std::to_string(m_table ? m_table->version().value() : 0)}},
                         boot_now());
     caller_answer answer{.status = status};
+    // Another host can serve the caller at once while this one stops.
     if (status == status_unavailable)
-        answer.retry_after =
-            startup_retry_after(m_mirror.is_failing(), request.request.caller_timeout);
+        answer.retry_after = m_is_stopping ? duration{0}
+                                           : startup_retry_after(m_mirror.is_failing(),
+                                                                 request.request.caller_timeout);
     m_ingress.respond(session, answer);
 }
 
@@ -278,11 +282,16 @@
     publish_own_entry();
 }
 
+stop_options gateway::stop_times() const
+{
+    return {.time_to_stop = m_settings.stop_within,
+            .address_validity = m_settings.address_validity};
+}
+
 void gateway::advance_stop(time_point now)
 {
     const duration since = now - m_stop_requested_at;
-    const stop_options times{.time_to_stop = m_settings.stop_within,
-                             .address_validity = m_settings.address_validity};
+    const stop_options times = stop_times();
     if (stop_phase_at(times, since, false) == stop_phase::accepting || m_stopped == nullptr)
         return;
     // Before the check for open requests, since it may read further ones.
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -18,6 +18,7 @@
 #include "tanagerspur/gateway/overload_detector.hpp"
 #include "tanagerspur/gateway/pause_detector.hpp"
 #include "tanagerspur/gateway/settings.hpp"
+#include "tanagerspur/gateway/stop_schedule.hpp"
 #include "tanagerspur/net/host_connections.hpp"
 #include "tanagerspur/net/http_server.hpp"
 #include "tanagerspur/net/ingress_server.hpp"
@@ -128,6 +129,7 @@
     void update_readers();
     void update_watched_hosts();
     void update_load(time_point now, duration lateness);
+    stop_options stop_times() const;
     void advance_stop(time_point now);
     time_point host_entry_expiry() const;
 
--- a/tanagerspur/gateway/stop_schedule.cpp
+++ b/tanagerspur/gateway/stop_schedule.cpp
@@ -14,6 +14,8 @@
 // Answers have to be written, and timers fire late.
 constexpr duration expiring_margin = std::chrono::milliseconds{1'000};
 constexpr duration exit_margin = std::chrono::milliseconds{500};
+// A request needs at least this multiple of its route's latency objective.
+constexpr int min_objectives_left = 2;
 // Minimum time to answer the last request that is accepted.
 constexpr duration min_request_time = std::chrono::milliseconds{1'000};
 
@@ -31,4 +33,10 @@
     return since < expire_at ? stop_phase::draining : stop_phase::expiring;
 }
 
+bool may_start_request(const stop_options& options, duration since, duration latency_objective)
+{
+    return options.time_to_stop - expiring_margin - since >=
+           min_objectives_left * latency_objective;
+}
+
 } // namespace tanagerspur
--- a/tanagerspur/gateway/stop_schedule.hpp
+++ b/tanagerspur/gateway/stop_schedule.hpp
@@ -29,6 +29,10 @@
 // answer is being written.
 stop_phase stop_phase_at(const stop_options& options, duration since, bool is_idle);
 
+// True if a request that arrives at the given time since the signal may be passed on: there is time
+// to answer it before all requests in progress are answered. Another host serves it otherwise.
+bool may_start_request(const stop_options& options, duration since, duration latency_objective);
+
 } // namespace tanagerspur
 
 #endif
--- a/tanagerspur/testing/gateway_fixture.cpp
+++ b/tanagerspur/testing/gateway_fixture.cpp
@@ -21,7 +21,9 @@
     R"({"version":7,"routes":[{"name":"r","host":"h.example","prefix":"/c/","type":"idempotent",)"
     R"("timeout-ms":1500,"target-latency-ms":250,"priority":1,"max-attempts":2,"service":"z"},)"
     R"({"name":"o","host":"h.example","prefix":"/once/","type":"non_idempotent",)"
-    R"("timeout-ms":1500,"target-latency-ms":250,"priority":1,"max-attempts":2,"service":"z"}],)"
+    R"("timeout-ms":1500,"target-latency-ms":250,"priority":1,"max-attempts":2,"service":"z"},)"
+    R"({"name":"l","host":"h.example","prefix":"/long/","type":"non_idempotent",)"
+    R"("timeout-ms":1500,"target-latency-ms":800,"priority":1,"max-attempts":2,"service":"z"}],)"
     R"("services":[{"name":"z","health-path":"/health","max-connections":26}],)"
     R"("limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,)"
     R"("idle-timeout-ms":15000}})";
@@ -37,11 +39,26 @@
 
 gateway_fixture::~gateway_fixture() = default;
 
-void gateway_fixture::add_replica(const std::string& id, scripted_server::script script)
+void gateway_fixture::start_replica(const std::string& id, scripted_server::script script)
 {
     auto answer = [this, id, script = std::move(script)](const std::string& head)
     {
         m_arrivals[id].push_back(boot_now());
+        return script(head);
+    };
+    m_replicas.push_back({id, std::make_unique<scripted_server>(m_io, std::move(answer))});
+    put_entry(id, 1);
+}
+
+void gateway_fixture::add_silent_replica(const std::string& id)
+{
+    start_replica(id, [](const std::string&) { return scripted_answer{}; });
+}
+
+void gateway_fixture::add_replica(const std::string& id, scripted_server::script script)
+{
+    auto answer = [script = std::move(script)](const std::string& head)
+    {
         scripted_answer made = script(head);
         const std::string request = field_of(head, "X-Request-Id");
         if (made.bytes.empty())
@@ -50,8 +67,7 @@
                       "\r\nContent-Length: 2\r\n\r\nok";
         return made;
     };
-    m_replicas.push_back({id, std::make_unique<scripted_server>(m_io, std::move(answer))});
-    put_entry(id, 1);
+    start_replica(id, std::move(answer));
 }
 
 void gateway_fixture::put_entry(const std::string& id, std::uint64_t started_ms)
@@ -93,9 +109,10 @@
     return {.address = "127.0.0.1", .port = probe.local_endpoint().port()};
 }
 
-void gateway_fixture::start()
+void gateway_fixture::start(gateway_settings settings)
 {
-    gateway_settings settings{.id = host_id{"h"}, .zone = zone_id{"a"}};
+    settings.id = host_id{"h"};
+    settings.zone = zone_id{"a"};
     m_callers = free_endpoint();
     settings.callers = m_callers;
     settings.peers = free_endpoint();
@@ -105,19 +122,34 @@
     CPPUNIT_ASSERT(run_until(m_io, [this] { return m_gateway->is_ready(); }));
 }
 
+gateway_fixture::caller::caller(asio::io_context& io, const endpoint& to, std::string request_id)
+    : m_socket(io)
+    , m_request_id(std::move(request_id))
+{
+    m_socket.connect({asio::ip::make_address(to.address), to.port});
+    asio::async_read(m_socket, asio::dynamic_buffer(m_received->answer),
+                     [into = m_received](boost::system::error_code, std::size_t)
+                     { into->is_closed = true; });
+}
+
+void gateway_fixture::caller::send(const std::string& path)
+{
+    asio::write(m_socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: h.example\r\n" +
+                                       "X-Request-Id: " + m_request_id +
+                                       "\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n\r\n"));
+}
+
+std::unique_ptr<gateway_fixture::caller> gateway_fixture::connect()
+{
+    return std::make_unique<caller>(m_io, m_callers, "q" + std::to_string(m_next_request++));
+}
+
 std::string gateway_fixture::request(const std::string& path)
 {
-    tcp::socket caller{m_io};
-    caller.connect({asio::ip::make_address(m_callers.address), m_callers.port});
-    asio::write(caller, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: h.example\r\n" +
-                                     "X-Request-Id: q" + std::to_string(m_next_request++) +
-                                     "\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n\r\n"));
-    std::string answer;
-    bool is_over = false;
-    asio::async_read(caller, asio::dynamic_buffer(answer),
-                     [&](boost::system::error_code, std::size_t) { is_over = true; });
-    CPPUNIT_ASSERT(run_until(m_io, [&] { return is_over; }));
-    return answer;
+    const std::unique_ptr<caller> sender = connect();
+    sender->send(path);
+    CPPUNIT_ASSERT(run_until(m_io, [&sender] { return sender->is_closed(); }));
+    return sender->answer();
 }
 
 void gateway_fixture::run_for(duration time)
--- a/tanagerspur/testing/gateway_fixture.hpp
+++ b/tanagerspur/testing/gateway_fixture.hpp
@@ -18,7 +18,8 @@
 class gateway_fixture
 {
 public:
-    // The service "z" is the only one; its routes are /c/ (idempotent) and /once/.
+    // The service "z" is the only one. Its routes are /c/ (idempotent), /once/, and /long/, which
+    // is not idempotent either and has a latency objective of 800 ms.
     gateway_fixture();
     ~gateway_fixture();
 
@@ -34,8 +35,37 @@
     // Writes the entry of another host of the same zone and capacity. The host does not run.
     void add_host(const std::string& id);
 
-    // Starts the gateway and waits until it is ready.
-    void start();
+    // Starts a replica that reads requests and never answers, and writes its entry.
+    void add_silent_replica(const std::string& id);
+
+    // Starts the gateway and waits until it is ready. Its id, zone and addresses are set here.
+    void start(gateway_settings settings = {});
+
+    // A caller with a connection of its own.
+    class caller
+    {
+    public:
+        caller(boost::asio::io_context& io, const endpoint& to, std::string request_id);
+
+        // Sends a request and asks for a close after its answer.
+        void send(const std::string& path);
+        // What has arrived so far.
+        const std::string& answer() const { return m_received->answer; }
+        bool is_closed() const { return m_received->is_closed; }
+
+    private:
+        // Outlives the caller until its read has ended.
+        struct received
+        {
+            std::string answer;
+            bool is_closed = false;
+        };
+
+        boost::asio::ip::tcp::socket m_socket;
+        std::string m_request_id;
+        std::shared_ptr<received> m_received = std::make_shared<received>();
+    };
+    std::unique_ptr<caller> connect();
 
     // Sends a request on a connection of its own; returns the whole answer, empty if there is none.
     std::string request(const std::string& path = "/c/x");
@@ -52,6 +82,7 @@
         std::string id;
         std::unique_ptr<scripted_server> server;
     };
+    void start_replica(const std::string& id, scripted_server::script script);
     endpoint free_endpoint();
 
     boost::asio::io_context m_io;
--- a/tanagerspur/testing/gateway_test.cpp
+++ b/tanagerspur/testing/gateway_test.cpp
@@ -119,6 +119,7 @@
     CPPUNIT_TEST(late_timers_mark_host_busy_with_hysteresis);
     CPPUNIT_TEST(time_to_stop_includes_pause);
     CPPUNIT_TEST(stop_schedule_leaves_time_for_answers);
+    CPPUNIT_TEST(stopping_host_starts_only_requests_with_time_for_answer);
     CPPUNIT_TEST(settings_errors_name_key);
     CPPUNIT_TEST(detects_changed_settings_file);
     CPPUNIT_TEST(longer_retry_after_while_store_fails);
@@ -465,6 +466,22 @@
                             .address_validity = std::chrono::seconds{validity_s}});
     }
 
+    void stopping_host_starts_only_requests_with_time_for_answer()
+    {
+        const stop_options times{.time_to_stop = std::chrono::seconds{6},
+                                 .address_validity = std::chrono::seconds{4}};
+        // Requests in progress are answered after 5 s.
+        for (const auto& [objective_ms, last_ms] : {std::pair{40, 4'920}, std::pair{250, 4'500}})
+        {
+            const std::chrono::milliseconds objective{objective_ms};
+            const std::chrono::milliseconds last{last_ms};
+            CPPUNIT_ASSERT(may_start_request(times, duration{0}, objective));
+            CPPUNIT_ASSERT(may_start_request(times, last, objective));
+            CPPUNIT_ASSERT(
+                !may_start_request(times, last + std::chrono::milliseconds{1}, objective));
+        }
+    }
+
     void settings_errors_name_key()
     {
         CPPUNIT_ASSERT_EQUAL(std::string{}, settings_error(valid_settings));
