--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -313,7 +313,7 @@
         replica->link().set_faults({.delay = std::chrono::milliseconds{40}});
         return later(length, [replica] { replica->link().set_faults({}); });
     case 5:
-        replica->set_faults({.slowness = 12});
+        replica->set_faults({.slowness = 12, .limit = 20});
         break;
     case 6:
         replica->set_faults({.refused = 0.5, .errors = 0.2});
--- a/stand_ins/replica_stand_in.cpp
+++ b/stand_ins/replica_stand_in.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t slots = 4;
 // Requests that are taken beyond the slots.
 constexpr std::size_t queue = 12;
+// Seconds for which it wants no requests from a host that it refused one.
+constexpr const char* refusal_pause = "0.2";
 constexpr std::size_t records = 4;
 constexpr std::size_t record_bytes = 16;
 // After a replica's leaving was acknowledged, hosts that reach the store send it nothing more.
@@ -97,9 +99,19 @@
 {
     http_reply reply{.status = status};
     reply.fields[header_names().not_run] = "1";
+    reply.fields["Retry-After"] = refusal_pause;
+    add_notices(reply);
     return reply;
 }
 
+void replica_stand_in::add_notices(http_reply& reply) const
+{
+    if (m_leaving_since != never)
+        reply.fields[header_names().leaving] = "1";
+    if (m_faults.limit > 0)
+        reply.fields[header_names().limit] = std::to_string(m_faults.limit);
+}
+
 void replica_stand_in::handle(http_call call, std::uint64_t token, http_responder respond)
 {
     if (call.field(lower_case(header_names().expected_replica)) != m_id)
@@ -144,6 +156,7 @@
     reply.fields[header_names().request_id] = request;
     reply.fields[header_names().signature] = record.signature;
     reply.fields[header_names().load] = std::to_string(m_running) + ",0," + std::to_string(slots);
+    add_notices(reply);
     respond(std::move(reply));
 }
 
--- a/stand_ins/replica_stand_in.hpp
+++ b/stand_ins/replica_stand_in.hpp
@@ -52,6 +52,8 @@
     double hangs = 0;
     // Share of requests that run, and whose connections are reset in place of an answer.
     double lost = 0;
+    // What it names as the requests per second that it takes from all hosts; 0 for no limit.
+    double limit = 0;
 };
 
 class replica_stand_in final : public http_handler
@@ -80,6 +82,8 @@
     void finish(std::uint64_t token, const run_record& record, const std::string& request,
                 const http_responder& respond);
     http_reply refusal(int status) const;
+    // Adds what the replica announces about itself.
+    void add_notices(http_reply& reply) const;
     double chance() { return std::uniform_real_distribution<>{}(m_random); }
 
     boost::asio::io_context& m_io;
