--- a/tanagerspur/registry/request_rate_limiter.cpp
+++ b/tanagerspur/registry/request_rate_limiter.cpp
@@ -8,8 +8,7 @@
 namespace
 {
 
-// Bounds of the time between two permits. Even a replica that takes no requests gets one from time
-// to time, since only its answers tell that it takes some again.
+// Bounds of the time between two permits.
 constexpr duration min_interval = std::chrono::microseconds{1};
 constexpr duration max_interval = std::chrono::minutes{5};
 
--- a/tanagerspur/testing/registry_test.cpp
+++ b/tanagerspur/testing/registry_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(stops_using_draining_replica_immediately);
     CPPUNIT_TEST(leaving_incarnation_is_dropped_while_store_is_lost);
     CPPUNIT_TEST(leaving_incarnation_does_not_return_with_its_entry);
+    CPPUNIT_TEST(replica_that_takes_no_requests_is_asked_again);
     CPPUNIT_TEST(drops_removed_replica_immediately_if_others_remain);
     CPPUNIT_TEST(keeps_last_replica_for_grace_period_only);
     CPPUNIT_TEST(brief_loss_of_store_does_not_extend_grace_period);
@@ -132,6 +133,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
     }
 
+    // One of six hosts, with steady requests: at most 5 in 4 s from all of them.
+    void replica_that_takes_no_requests_is_asked_again()
+    {
+        m_registry->put(make_record("x"), at_ms(0));
+        m_registry->set_limit_share(1.0 / 6, at_ms(0));
+        const replica_ref x = m_registry->of_service(service_id{"desk"}).front();
+        m_registry->heard(*x, {.limit = request_rate{0}}, at_ms(0));
+        std::size_t sent = 0;
+        for (std::int64_t ms = 0; ms < 60'000; ms += 20)
+            if (x->may_get_work(at_ms(ms)))
+            {
+                x->restrictions->sent(at_ms(ms));
+                ++sent;
+            }
+        CPPUNIT_ASSERT(sent >= 4 && sent <= 60 / 4 * 5 / 6);
+        m_registry->heard(*x, {}, at_ms(60'000));
+        CPPUNIT_ASSERT(x->may_get_work(at_ms(60'000)));
+    }
+
     void drops_removed_replica_immediately_if_others_remain()
     {
         m_registry->put(make_record("x"), at_ms(0));
