Hosts divide the limit of a replica by their callers

Cause: each advertised host had the same share of a limit, whatever callers it has.

A host counts its own load as the store returned it: while the store is away, it takes nothing that others don't give up.

--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -126,6 +126,7 @@
     void report_latencies(metrics_text& text) const;
     void schedule_tick();
     void tick(time_point due);
+    void set_limit_share(double share);
     void update_readers();
     void update_watched_hosts();
     void update_load(time_point now, duration lateness);
--- a/tanagerspur/gateway/gateway_hosts.cpp
+++ b/tanagerspur/gateway/gateway_hosts.cpp
@@ -20,9 +20,6 @@
 // Share of the deployment's retry slack that is used. The rest is a margin for the moments in which
 // hosts disagree on how many of them share it.
 constexpr double retry_slack_share = 0.7;
-// Share of a replica's request limit for a host that is not advertised, compared with one that is.
-// Callers that have its address cached still use it.
-constexpr double unadvertised_limit_share = 0.25;
 // Bounds of the random interval at which an unregistered host checks whether it should register.
 // When many entries are missing, the first hosts to check fill the gap.
 constexpr duration min_registration_check_interval = std::chrono::milliseconds{500};
@@ -113,7 +110,7 @@
         m_log.write("shares_changed", {{"used", is_advertised ? "true" : "false"},
                                        {"used_hosts", std::to_string(sharing)},
                                        {"known_hosts", std::to_string(m_directory.known_hosts())}});
-    m_registry.set_limit_share((is_advertised ? 1 : unadvertised_limit_share) / hosts, boot_now());
+    set_limit_share(m_directory.share_of_limits(registered, running));
     m_forwarder.set_retry_slack(
         is_advertised ? m_settings.retry_slack * retry_slack_share / hosts : 0.0, boot_now());
     if (m_table != nullptr)
@@ -128,6 +125,20 @@
         }
 }
 
+void gateway::set_limit_share(double share)
+{
+    const double before = m_registry.limit_share();
+    m_registry.set_limit_share(share, boot_now());
+    if (share != before && m_registry.limited() > 0)
+        m_log.write_limited("limit_share_changed",
+                            {{"share", std::to_string(share)},
+                             {"before", std::to_string(before)},
+                             {"load_thousandths", std::to_string(m_cpu_load.load())},
+                             {"replicas_limited", std::to_string(m_registry.limited())},
+                             {"revision", std::to_string(m_mirror.as_of().value())}},
+                            boot_now());
+}
+
 // A host that is a reader for the others reads the store directly, as does a host without a reader.
 void gateway::update_readers()
 {
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/value.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace tanagerspur
 {
@@ -89,6 +90,8 @@
     text.add("replicas_leaving_total", m_replicas_leaving);
     text.add("replica_pauses_total", m_replica_pauses);
     text.add("replicas_limited", m_registry.limited());
+    text.add("limit_share_thousandths",
+             static_cast<std::uint64_t>(std::lround(1'000 * m_registry.limit_share())));
     text.add("hosts_ready", m_directory.ready_hosts());
     text.add("hosts_watched", m_host_monitor.watched());
     text.add("hosts_unreachable", m_host_monitor.unreachable());
--- a/tanagerspur/gateway/host_directory.cpp
+++ b/tanagerspur/gateway/host_directory.cpp
@@ -1,5 +1,7 @@
 #include "tanagerspur/gateway/host_directory.hpp"
 
+#include "tanagerspur/gateway/limit_share.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <tuple>
@@ -13,6 +15,15 @@
 // Callers of a zone with fewer advertised hosts also get those of other zones, so that they still
 // have a host after one fails.
 constexpr std::size_t min_hosts_per_zone = 2;
+// Share of a replica's request limit for a host that is not advertised, compared with an even
+// share.
+constexpr double unadvertised_limit_share = 0.25;
+
+bool contains(const std::vector<host_record>& hosts, const host_id& id)
+{
+    return std::any_of(hosts.begin(), hosts.end(),
+                       [&id](const host_record& each) { return each.id == id; });
+}
 
 } // namespace
 
@@ -24,7 +35,9 @@
 
 void host_directory::put(const host_record& record)
 {
-    if (record.id != m_self.id)
+    if (record.id == m_self.id)
+        m_published_load = record.load;
+    else
         m_others[record.id] = {.record = record};
 }
 
@@ -119,6 +132,23 @@
         { return each.id == m_self.id || hosts.of(each.id) != reachability::unreachable; });
 }
 
+// A host that replaces an unreachable one has no load that others know of yet.
+double host_directory::share_of_limits(const std::vector<host_record>& registered,
+                                       const std::vector<host_record>& running) const
+{
+    const std::vector<host_record>& sharing =
+        running.size() > registered.size() ? running : registered;
+    const double even = 1 / static_cast<double>(std::max<std::size_t>(1, sharing.size()));
+    if (!contains(registered, m_self.id) && !contains(running, m_self.id))
+        return unadvertised_limit_share * even;
+    if (!contains(sharing, m_self.id))
+        return even;
+    double total_load = 0;
+    for (const host_record& each : sharing)
+        total_load += each.id == m_self.id ? m_published_load : each.load;
+    return limit_share(m_published_load, total_load, sharing.size());
+}
+
 bool host_directory::should_register() const
 {
     std::vector<host_record> hosts;
--- a/tanagerspur/gateway/host_directory.hpp
+++ b/tanagerspur/gateway/host_directory.hpp
@@ -64,6 +64,7 @@
 public:
     explicit host_directory(host_record self, directory_options options = {});
 
+    // An entry was written. Of this host's own entry only the load is used, by share_of_limits().
     void put(const host_record& record);
     // Removes the entry at expires_at. It is kept until then because entries of live hosts are
     // removed too while the store is unavailable.
@@ -80,6 +81,12 @@
     // The same choice without the hosts that are known to be unreachable, which others replace.
     std::vector<host_record> advertised_hosts(const reachability_source& hosts) const;
 
+    // Returns this host's share of the limits of replicas, 0 to 1, for the results of both forms of
+    // advertised_hosts(). The advertised hosts divide the limits by their loads as the store has
+    // them; any other host has a part of an even share, for callers that still use its address.
+    double share_of_limits(const std::vector<host_record>& registered,
+                           const std::vector<host_record>& running) const;
+
     // Returns at most max_count addresses for a caller in the zone: the advertised hosts of its
     // zone that are known to be reachable, or those of all zones if its zone has fewer than two.
     std::vector<endpoint> addresses(const zone_id& caller_zone, std::size_t max_count,
@@ -119,6 +126,8 @@
 
     directory_options m_options;
     host_record m_self;
+    // The load of this host that the other hosts know.
+    std::uint32_t m_published_load = 0;
     std::map<host_id, known_host> m_others;
 };
 
