A search for a reader of the store ends, and the store is asked

Cause: a follower tries readers one after the other until none is left, and a failed one again after 1.5 s. Four readers without power take 0.5 s each to fail, so the first is due again before the last has failed: the search never ends, the store is never asked, and the list of readers, which is read through them, stays as it is. Class of fault: a retry whose parts are bounded, but not the whole.

Ruled out: calls without a timeout (each fails after 0.5 or 1.5 s), a running reader that hears nothing (hosts with the same revision had none).

Change: the search ends 1.5 s after its start, half of the time in which the smallest deployments put a configuration in force. store_source_changed tells what a host reads from.

Test: mirror_test::silent_readers_do_not_keep_changes_from_host, six silent readers, fails on the code before: no answer within the 3 s of that bound.

--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -139,6 +139,8 @@
     wire_header_names m_header_names;
     const store_codec& m_codec;
     relayed_store m_store;
+    // The last answered watch went to the store itself.
+    bool m_has_read_store = false;
     event_log m_log;
     // A separate log with its own rate limit, so that many failed attempts do not displace the
     // lines of requests.
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -141,7 +141,15 @@
 
 void gateway::on_read()
 {
-    m_relay.set_reads_store(m_store.reads_store(), boot_now());
+    const bool reads_store = m_store.reads_store();
+    m_relay.set_reads_store(reads_store, boot_now());
+    if (std::exchange(m_has_read_store, reads_store) != reads_store)
+        m_log.write_limited("store_source_changed",
+                            {{"source", reads_store ? "store" : "reader"},
+                             {"readers_failed", std::to_string(m_store.counters().failures)},
+                             {"fallbacks", std::to_string(m_store.counters().fallbacks)},
+                             {"revision", std::to_string(m_mirror.as_of().value())}},
+                            boot_now());
     m_relay.publish(boot_now());
 }
 
--- a/tanagerspur/store/relayed_store.cpp
+++ b/tanagerspur/store/relayed_store.cpp
@@ -25,8 +25,10 @@
 {
 }
 
-const reader_candidate* relayed_store::next_reader(time_point now) const
+const reader_candidate* relayed_store::next_reader(time_point search_begun, time_point now) const
 {
+    if (now - search_begun >= m_options.max_search_time)
+        return nullptr;
     for (const reader_candidate& each : m_readers)
     {
         const auto failed = m_failed_until.find(each.id);
@@ -39,13 +41,17 @@
 void relayed_store::watch(const std::string& prefix, store_revision after, duration wait,
                           change_handler handler)
 {
-    start_watch({.prefix = prefix, .after = after, .wait = wait, .handler = std::move(handler)});
+    start_watch({.prefix = prefix,
+                 .after = after,
+                 .wait = wait,
+                 .handler = std::move(handler),
+                 .begun = boot_now()});
 }
 
 // Tries the readers one at a time: the next call begins only after the previous one has ended.
 void relayed_store::start_watch(pending_watch watch)
 {
-    const reader_candidate* reader = next_reader(boot_now());
+    const reader_candidate* reader = next_reader(watch.begun, boot_now());
     if (reader != nullptr)
         return watch_reader(reader_candidate{*reader}, std::move(watch));
     if (m_readers.empty())
--- a/tanagerspur/store/relayed_store.hpp
+++ b/tanagerspur/store/relayed_store.hpp
@@ -23,6 +23,10 @@
     duration call_timeout = std::chrono::milliseconds{500};
     // A reader that failed is not tried again for this time.
     duration failed_reader_backoff = std::chrono::milliseconds{1'500};
+    // Readers are tried for a watch until this time after its start, then the store itself. Readers
+    // that have failed are tried again after a while, so with many of them the search would not
+    // end by itself.
+    duration max_search_time = std::chrono::milliseconds{1'500};
     // Wait of a watch at the store when no reader answers. All hosts call the store at once in that
     // case, and each call is charged for. A lost call is noticed only when its wait is over.
     duration fallback_wait = std::chrono::seconds{1};
@@ -73,9 +77,10 @@
         store_revision after;
         duration wait;
         change_handler handler;
+        time_point begun;
     };
 
-    const reader_candidate* next_reader(time_point now) const;
+    const reader_candidate* next_reader(time_point search_begun, time_point now) const;
     void watch_reader(const reader_candidate& reader, pending_watch watch);
     void send_watch(const connection_ref& connection, const host_id& reader,
                     const pending_watch& watch);
--- a/tanagerspur/testing/mirror_test.cpp
+++ b/tanagerspur/testing/mirror_test.cpp
@@ -84,6 +84,9 @@
             .max_backoff = std::chrono::milliseconds{10}};
 }
 
+// Within this time a configuration is in force on all hosts of the smallest deployments.
+constexpr duration configuration_bound = std::chrono::seconds{3};
+
 reader_candidate make_candidate(const std::string& id, const std::string& zone,
                                 std::uint32_t capacity)
 {
@@ -110,6 +113,7 @@
     CPPUNIT_TEST(each_large_zone_has_a_reader);
     CPPUNIT_TEST(failed_store_is_not_retried_during_backoff);
     CPPUNIT_TEST(recovered_store_is_noticed_within_settling_time);
+    CPPUNIT_TEST(silent_readers_do_not_keep_changes_from_host);
     CPPUNIT_TEST(readers_are_few_with_most_capacity_in_different_zones);
     CPPUNIT_TEST(entry_is_rewritten_after_lost_leases_and_outages);
     CPPUNIT_TEST_SUITE_END();
@@ -447,6 +451,30 @@
         CPPUNIT_ASSERT(boot_now() - returned < std::chrono::seconds{4});
     }
 
+    // Each reader is tried again before the last one has failed.
+    void silent_readers_do_not_keep_changes_from_host()
+    {
+        std::deque<testing::scripted_server> silent;
+        std::vector<reader_candidate> readers;
+        for (const char* id : {"1", "2", "3", "4", "5", "6"})
+        {
+            silent.emplace_back(*m_io,
+                                [](const std::string&) { return testing::scripted_answer{}; });
+            readers.push_back(make_candidate(id, "a", 1));
+            readers.back().peers = silent.back().address();
+        }
+        relayed_store relayed(*m_io, *m_store);
+        relayed.set_readers(std::move(readers));
+        bool is_answered = false;
+        relayed.watch("", store_revision{1}, std::chrono::milliseconds{1},
+                      [&is_answered](const change_list&) { is_answered = true; });
+        const time_point begun = boot_now();
+        while (!is_answered && boot_now() < begun + configuration_bound)
+            run_until(*m_io,
+                      [&] { return is_answered || boot_now() > begun + configuration_bound; });
+        CPPUNIT_ASSERT(is_answered);
+    }
+
     void readers_are_few_with_most_capacity_in_different_zones()
     {
         std::vector<reader_candidate> hosts;
