Tests of limits share one simulation of hosts

Seeds, checks and bounds stay; the time at which the simulated clock starts is that of the rate limiter's test.

--- a/tanagerspur/testing/request_rate_limiter_test.cpp
+++ b/tanagerspur/testing/request_rate_limiter_test.cpp
@@ -2,14 +2,11 @@
 // together.
 
 #include "tanagerspur/registry/request_rate_limiter.hpp"
+#include "tanagerspur/testing/limited_hosts.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include <deque>
-#include <random>
-#include <vector>
-
 namespace tanagerspur
 {
 
@@ -18,67 +15,14 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-constexpr duration step = milliseconds{5};
+using testing::accepted_in_window;
+using testing::limited_hosts;
 
 time_point at_ms(std::int64_t ms)
 {
     return time_point{milliseconds{1'000'000 + ms}};
 }
 
-// The most that a replica accepts in 4 s while it names a limit.
-double accepted_in_window(double limit)
-{
-    return 1.5 * 4 * limit + 5;
-}
-
-// Hosts that share a limit evenly. Each offers requests in steps and sends those with a permit.
-class sharing_hosts
-{
-public:
-    sharing_hosts(std::size_t hosts, double limit, std::uint64_t seed)
-        : m_random(seed)
-    {
-        for (std::size_t i = 0; i < hosts; ++i)
-            m_limiters.emplace_back(request_rate{limit / static_cast<double>(hosts)},
-                                    std::uniform_real_distribution<>{0, 1}(m_random), m_now);
-    }
-
-    // Offers requests at a rate, over all hosts, for a while.
-    void offer(double per_second, duration time)
-    {
-        const double per_step = per_second * std::chrono::duration<double>{step}.count() /
-                                static_cast<double>(m_limiters.size());
-        for (const time_point end = m_now + time; m_now < end; m_now += step)
-            for (request_rate_limiter& each : m_limiters)
-                offer_once(each, std::poisson_distribution<int>{per_step}(m_random));
-    }
-
-    std::size_t sent() const { return m_sent; }
-    std::size_t most_in_window() const { return m_most; }
-
-private:
-    void offer_once(request_rate_limiter& limiter, int requests)
-    {
-        for (; requests > 0 && limiter.may_send(m_now); --requests)
-        {
-            limiter.sent(m_now);
-            ++m_sent;
-            m_window.push_back(m_now);
-            while (m_window.front() + seconds{4} <= m_now)
-                m_window.pop_front();
-            m_most = std::max(m_most, m_window.size());
-        }
-    }
-
-    std::mt19937_64 m_random;
-    std::vector<request_rate_limiter> m_limiters;
-    time_point m_now = at_ms(0);
-    std::deque<time_point> m_window;
-    std::size_t m_sent = 0;
-    std::size_t m_most = 0;
-};
-
 } // namespace
 
 class request_rate_limiter_test : public CppUnit::TestFixture
@@ -99,13 +43,13 @@
             {
                 const auto hosts = *rc::gen::inRange<std::size_t>(1, 60);
                 const auto limit = *rc::gen::inRange(10, 200);
-                sharing_hosts sharing{hosts, static_cast<double>(limit),
+                limited_hosts sharing{hosts, static_cast<double>(limit),
                                       *rc::gen::arbitrary<std::uint64_t>()};
                 const auto phases = *rc::gen::inRange(2, 6);
                 for (int i = 0; i < phases; ++i)
                 {
                     const int load = *rc::gen::element(0, limit / 4, limit, 3 * limit, 30 * limit);
-                    sharing.offer(load, milliseconds{*rc::gen::inRange(100, 5'000)});
+                    sharing.offer_evenly(load, milliseconds{*rc::gen::inRange(100, 5'000)});
                 }
                 RC_ASSERT(static_cast<double>(sharing.most_in_window()) <=
                           accepted_in_window(limit));
@@ -116,8 +60,8 @@
     {
         for (const std::size_t hosts : {1U, 6U, 50U})
         {
-            sharing_hosts sharing{hosts, 30, hosts};
-            sharing.offer(600, seconds{20});
+            limited_hosts sharing{hosts, 30, hosts};
+            sharing.offer_evenly(600, seconds{20});
             CPPUNIT_ASSERT(sharing.sent() >= 570U);
         }
     }
@@ -125,8 +69,8 @@
     // Load at two thirds of the limit that comes at random times.
     void load_within_limit_is_sent()
     {
-        sharing_hosts sharing{6, 60, 1};
-        sharing.offer(40, seconds{30});
+        limited_hosts sharing{6, 60, 1};
+        sharing.offer_evenly(40, seconds{30});
         CPPUNIT_ASSERT(static_cast<double>(sharing.sent()) >= 0.95 * 40 * 30);
     }
 
