--- a/tanagerspur/gateway/host_directory.cpp
+++ b/tanagerspur/gateway/host_directory.cpp
@@ -15,8 +15,7 @@
 // Callers of a zone with fewer advertised hosts also get those of other zones, so that they still
 // have a host after one fails.
 constexpr std::size_t min_hosts_per_zone = 2;
-// Share of a replica's request limit for a host that is not advertised, compared with an even
-// share.
+// Share of a replica's request limit for a host that is not advertised, as a part of an even share.
 constexpr double unadvertised_limit_share = 0.25;
 
 bool contains(const std::vector<host_record>& hosts, const host_id& id)
