A replica that left does not return with a copy of the store

Requests went to replicas that had drained or been removed, while a restored store showed their entries as they once were, until those were written or removed again.

An incarnation counts what it says of itself; the registry keeps the last count of those that left for ten minutes and ignores entries with no later one (replica_outdated). Stand-ins and tests that wrote an entry again with the same count now count, as the platform says; their checks are as before. An older configuration was ignored before; that now has its log line (configuration_outdated). The soak's store is restored from copies.

--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -95,6 +95,7 @@
     void strike();
     void strike_host();
     void strike_store();
+    void restore_store(duration age, duration length);
     void strike_replica();
     void later(duration wait, std::function<void()> action);
     void tick();
@@ -122,6 +123,7 @@
     time_point m_faults_end;
     time_point m_store_calm_since{};
     std::uint64_t m_version = 0;
+    std::string m_configuration;
     // When the store acknowledged each version.
     std::map<std::uint64_t, time_point> m_acknowledged;
     std::map<std::pair<const soak_host*, int>, shown_version> m_shown;
--- a/stand_ins/replica_stand_in.cpp
+++ b/stand_ins/replica_stand_in.cpp
@@ -64,6 +64,7 @@
 
 void replica_stand_in::write_entry(memory_store& store, const char* state)
 {
+    m_state = state;
     store.set(platform::replica_prefix + m_id,
               boost::json::serialize(boost::json::object{{"service", m_service},
                                                          {"address", to_string(m_address)},
@@ -72,7 +73,7 @@
                                                          {"slots", slots},
                                                          {"state", state},
                                                          {"warmup-left-ms", 0},
-                                                         {"seq", 1},
+                                                         {"seq", ++m_sequence},
                                                          {"born", m_started_ms}}));
 }
 
@@ -92,9 +93,18 @@
 void replica_stand_in::remove_from(memory_store& store)
 {
     m_leaving_since = std::min(m_leaving_since, boot_now());
+    m_state = nullptr;
     store.erase(platform::replica_prefix + m_id);
 }
 
+void replica_stand_in::write_again(memory_store& store)
+{
+    if (m_state != nullptr)
+        write_entry(store, m_state);
+    else
+        remove_from(store);
+}
+
 http_reply replica_stand_in::refusal(int status) const
 {
     http_reply reply{.status = status};
--- a/stand_ins/replica_stand_in.hpp
+++ b/stand_ins/replica_stand_in.hpp
@@ -67,6 +67,8 @@
     void register_in(memory_store& store);
     void drain_in(memory_store& store);
     void remove_from(memory_store& store);
+    // Writes again what the store has lost.
+    void write_again(memory_store& store);
 
     void set_faults(const replica_faults& faults) { m_faults = faults; }
     loopback_proxy& link() { return m_link; }
@@ -97,6 +99,9 @@
     replica_faults m_faults;
     std::mt19937_64 m_random;
     std::uint64_t m_started_ms;
+    std::uint64_t m_sequence = 0;
+    // What its entry says; null if it has none.
+    const char* m_state = nullptr;
     std::uint64_t m_runs = 0;
     std::size_t m_running = 0;
     time_point m_leaving_since = never;
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -92,6 +92,7 @@
     std::size_t others_of(const replica& which) const;
     void replica_added(const replica& added) override;
     void replica_left(const replica& left, removal why) override;
+    void replica_entry_outdated(const replica_record& entry) override;
     void replica_leaving(const replica& which) override;
     void replica_paused(const replica& which, duration pause) override;
     void replica_limited(const replica& which, std::optional<request_rate> limit) override;
@@ -163,6 +164,8 @@
     std::uint64_t m_hosts_lost = 0;
     // Replicas that announced in an answer that they are leaving.
     std::uint64_t m_replicas_leaving = 0;
+    // Entries from before their replicas left.
+    std::uint64_t m_outdated_entries = 0;
     // Answers of replicas that wanted no requests for a while.
     std::uint64_t m_replica_pauses = 0;
     relay_server m_relay;
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -88,6 +88,7 @@
     text.add("caller_connections", m_ingress.open_sessions());
     text.add("replicas", m_registry.size());
     text.add("replicas_leaving_total", m_replicas_leaving);
+    text.add("replica_entries_outdated_total", m_outdated_entries);
     text.add("replica_pauses_total", m_replica_pauses);
     text.add("replicas_limited", m_registry.limited());
     text.add("limit_share_thousandths",
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -207,7 +207,13 @@
     }
     auto& configuration = std::get<routing_configuration>(decoded);
     if (m_table != nullptr && configuration.version <= m_table->version())
+    {
+        if (configuration.version < m_table->version())
+            m_log.write("configuration_outdated",
+                        {{"version", std::to_string(configuration.version.value())},
+                         {"in_force", std::to_string(m_table->version().value())}});
         return;
+    }
     m_log.write("configuration_applied",
                 {{"version", std::to_string(configuration.version.value())},
                  {"routes", std::to_string(configuration.routes.size())},
@@ -249,6 +255,17 @@
                         boot_now());
 }
 
+void gateway::replica_entry_outdated(const replica_record& entry)
+{
+    ++m_outdated_entries;
+    m_log.write_limited("replica_outdated",
+                        {{"replica", entry.id.value()},
+                         {"service", entry.service.value()},
+                         {"seq", std::to_string(entry.sequence)},
+                         {"revision", std::to_string(m_mirror.as_of().revision.value())}},
+                        boot_now());
+}
+
 void gateway::replica_leaving(const replica& which)
 {
     ++m_replicas_leaving;
--- a/tanagerspur/registry/replica_registry.cpp
+++ b/tanagerspur/registry/replica_registry.cpp
@@ -1,7 +1,6 @@
 #include "tanagerspur/registry/replica_registry.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace tanagerspur
@@ -34,16 +33,16 @@
 
 void replica_registry::put(const replica_record& record, time_point now)
 {
-    std::uint64_t& latest = m_started_ms[record.id];
-    if (record.started_ms < latest)
-        return;
-    latest = record.started_ms;
+    if (is_outdated(record))
+        return m_observer.replica_entry_outdated(record);
+    note_entry(record);
     m_missing.erase(record.id);
     const auto found = m_by_id.find(record.id);
     if (record.state == replica_state::draining)
     {
         if (found != m_by_id.end())
-            remove_now(record.id, removal::draining);
+            remove_now(record.id, removal::draining, now);
+        m_latest[record.id].left = now;
         return;
     }
     if (found == m_by_id.end())
@@ -53,13 +52,33 @@
                          known.service == record.service;
     if (!is_same)
     {
-        remove_now(record.id, removal::replaced);
+        remove_now(record.id, removal::replaced, now);
         return add(record, now);
     }
     known = record;
     found->second->estimate.set_warm_up_end(now + record.warmup_left);
 }
 
+// Without a time of start, incarnations of an id cannot be told apart by their entries.
+bool replica_registry::is_outdated(const replica_record& record) const
+{
+    const auto latest = m_latest.find(record.id);
+    if (latest == m_latest.end() || record.started_ms > latest->second.started_ms)
+        return false;
+    return record.started_ms < latest->second.started_ms ||
+           (record.started_ms > 0 && latest->second.left && record.state == replica_state::ready &&
+            record.sequence <= latest->second.sequence);
+}
+
+void replica_registry::note_entry(const replica_record& record)
+{
+    known_incarnation& latest = m_latest[record.id];
+    if (record.started_ms != latest.started_ms)
+        latest = {.started_ms = record.started_ms};
+    latest.sequence = std::max(latest.sequence, record.sequence);
+    latest.left.reset();
+}
+
 void replica_registry::add(const replica_record& record, time_point now)
 {
     const std::shared_ptr<replica_restrictions> restrictions = known_restrictions(record);
@@ -76,7 +95,7 @@
     m_observer.replica_added(*made);
 }
 
-void replica_registry::remove_now(const replica_id& id, removal why)
+void replica_registry::remove_now(const replica_id& id, removal why, time_point now)
 {
     const auto found = m_by_id.find(id);
     if (found == m_by_id.end())
@@ -84,6 +103,8 @@
     const replica_ref left = found->second;
     m_by_id.erase(found);
     m_missing.erase(id);
+    if (why != removal::replaced)
+        m_latest[id].left = now;
     std::erase(m_by_service[left->record.service], left);
     m_observer.replica_left(*left, why);
 }
@@ -97,8 +118,8 @@
     if (!is_announcement && restrictions == nullptr)
         return;
     // An answer of an earlier incarnation says nothing about the current one.
-    const auto latest = m_started_ms.find(from.record.id);
-    if (latest != m_started_ms.end() && latest->second != from.record.started_ms)
+    const auto latest = m_latest.find(from.record.id);
+    if (latest != m_latest.end() && latest->second.started_ms != from.record.started_ms)
         return;
     const auto found = m_by_id.find(from.record.id);
     const replica& current = found == m_by_id.end() ? from : *found->second;
@@ -174,7 +195,7 @@
     if (is_in_grace_period(now) || is_last)
         m_missing[id] = std::max(m_grace_end, now + m_options.return_grace);
     else
-        remove_now(id, removal::removed);
+        remove_now(id, removal::removed, now);
 }
 
 void replica_registry::replace_all(const std::vector<replica_record>& records, time_point now)
@@ -188,17 +209,30 @@
             absent.push_back(id);
     for (const replica_id& id : absent)
         remove(id, now);
-    std::erase_if(m_started_ms, [&](const auto& each)
-                  { return !listed.contains(each.first) && !m_by_id.contains(each.first); });
+    forget_incarnations(listed, now);
+    for (const replica_record& each : records)
+        put(each, now);
+}
+
+void replica_registry::forget_incarnations(const std::set<replica_id>& listed, time_point now)
+{
+    const auto is_present = [&](const replica_id& id)
+    { return listed.contains(id) || m_by_id.contains(id); };
+    std::erase_if(m_latest,
+                  [&](const auto& each)
+                  {
+                      const std::optional<time_point>& left = each.second.left;
+                      return !is_present(each.first) &&
+                             (!left || each.second.started_ms == 0 ||
+                              now - *left > m_options.incarnation_memory);
+                  });
     std::erase_if(m_restricted,
                   [&](const auto& each)
                   {
-                      return !listed.contains(each.first) && !m_by_id.contains(each.first) &&
+                      return !is_present(each.first) &&
                              (each.second.started_ms == 0 ||
-                              now - each.second.announced > m_options.restriction_memory);
+                              now - each.second.announced > m_options.incarnation_memory);
                   });
-    for (const replica_record& each : records)
-        put(each, now);
 }
 
 void replica_registry::store_lost(time_point now)
@@ -236,7 +270,7 @@
             left_ids.push_back(id);
     }
     for (const replica_id& id : left_ids)
-        remove_now(id, removal::leaving);
+        remove_now(id, removal::leaving, now);
     if (m_missing.empty() || m_store_lost)
         return;
     std::vector<replica_id> expired_ids;
@@ -244,7 +278,7 @@
         if (now >= end)
             expired_ids.push_back(id);
     for (const replica_id& id : expired_ids)
-        remove_now(id, removal::expired);
+        remove_now(id, removal::expired, now);
 }
 
 const std::vector<replica_ref>& replica_registry::of_service(const service_id& service) const
--- a/tanagerspur/registry/replica_registry.hpp
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -7,6 +7,9 @@
 // after the store is available again, since live replicas register again within it. The last entry
 // of a service is kept for the same time: its removal may be due to an outage that this host did
 // not notice, and no other replica could serve instead.
+//
+// A store that is restored from a copy shows entries as they once were. An entry that is no later
+// than the last one of a replica that has left does not bring it back.
 
 #ifndef TANAGERSPUR_REGISTRY_REPLICA_REGISTRY_HPP
 #define TANAGERSPUR_REGISTRY_REPLICA_REGISTRY_HPP
@@ -21,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace tanagerspur
@@ -45,6 +49,8 @@
     duration warmup_left{0};
     // Start of this incarnation, Unix milliseconds; 0 if the entry has none.
     std::uint64_t started_ms = 0;
+    // Counts what the incarnation says of itself.
+    std::uint64_t sequence = 0;
 };
 
 // A replica in use. Shared, because attempts in flight may outlive its entry.
@@ -76,9 +82,10 @@
     duration brief_loss = std::chrono::seconds{1};
     // How long a replica that announced in an answer that it is leaving may get work.
     duration leaving_grace = std::chrono::milliseconds{2'500};
-    // How long the restrictions of an incarnation without an entry are remembered. Its entry may
-    // lapse while the store is unavailable and be written again before it ends.
-    duration restriction_memory = std::chrono::minutes{10};
+    // How long an incarnation without an entry is remembered: that it has left, and its
+    // restrictions. Its entry may lapse while the store is unavailable and be written again before
+    // it ends, or return with a copy of the store.
+    duration incarnation_memory = std::chrono::minutes{10};
     // Seed of the times of the first permits for replicas with a limit; differs between hosts.
     std::uint64_t seed = 1;
 };
@@ -102,6 +109,8 @@
     virtual ~registry_observer() = default;
     virtual void replica_added(const replica& added) = 0;
     virtual void replica_left(const replica& left, removal why) = 0;
+    // An entry was ignored, because the replica has left since it was written.
+    virtual void replica_entry_outdated(const replica_record& entry) = 0;
     // It announced in an answer that it is leaving. replica_left follows, unless it came before.
     virtual void replica_leaving(const replica& which) = 0;
     // It turned a request away and gets no work for this long.
@@ -150,13 +159,25 @@
 
 private:
     void add(const replica_record& record, time_point now);
-    void remove_now(const replica_id& id, removal why);
+    void remove_now(const replica_id& id, removal why, time_point now);
     bool is_in_grace_period(time_point now) const;
     void set_limit(replica_restrictions& restrictions, std::optional<request_rate> limit,
                    time_point now);
     // Returns null if the incarnation has announced nothing.
     std::shared_ptr<replica_restrictions> known_restrictions(const replica_record& record) const;
 
+    // The latest incarnation of an id and the last entry that was seen of it.
+    struct known_incarnation
+    {
+        std::uint64_t started_ms = 0;
+        std::uint64_t sequence = 0;
+        std::optional<time_point> left;
+    };
+    // True if the entry is from before the replica left, or of an earlier incarnation.
+    bool is_outdated(const replica_record& record) const;
+    void note_entry(const replica_record& record);
+    void forget_incarnations(const std::set<replica_id>& listed, time_point now);
+
     // An incarnation that announced a restriction.
     struct restricted_incarnation
     {
@@ -171,9 +192,9 @@
     std::map<service_id, std::vector<replica_ref>> m_by_service;
     // Missing entries in their grace period, with its end.
     std::map<replica_id, time_point> m_missing;
-    // Start of the latest incarnation of each id, so that a late write of an earlier one is
-    // ignored.
-    std::map<replica_id, std::uint64_t> m_started_ms;
+    // The latest incarnation of each id, so that a late write of an earlier one and an entry from
+    // before it left are ignored.
+    std::map<replica_id, known_incarnation> m_latest;
     std::map<replica_id, restricted_incarnation> m_restricted;
     double m_limit_share = 1;
     std::mt19937_64 m_random;
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -312,6 +312,7 @@
 
 private:
     void replica_added(const replica&) override {}
+    void replica_entry_outdated(const replica_record&) override {}
     void replica_left(const replica&, removal) override {}
     void replica_leaving(const replica&) override {}
     void replica_paused(const replica&, duration) override {}
--- a/tanagerspur/testing/gateway_fixture.cpp
+++ b/tanagerspur/testing/gateway_fixture.cpp
@@ -83,7 +83,7 @@
                                                 {"slots", 4},
                                                 {"state", "ready"},
                                                 {"warmup-left-ms", 0},
-                                                {"seq", 1},
+                                                {"seq", ++m_sequence},
                                                 {"born", started_ms}}));
 }
 
--- a/tanagerspur/testing/gateway_fixture.hpp
+++ b/tanagerspur/testing/gateway_fixture.hpp
@@ -92,6 +92,8 @@
     endpoint m_callers;
     std::unique_ptr<gateway> m_gateway;
     std::uint64_t m_next_request = 1;
+    // Of the entries of replicas.
+    std::uint64_t m_sequence = 0;
 };
 
 } // namespace tanagerspur::testing
--- a/tanagerspur/testing/shard_simulation.cpp
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -159,6 +159,7 @@
 
 private:
     void replica_added(const replica& /*added*/) override {}
+    void replica_entry_outdated(const replica_record& /*entry*/) override {}
     void replica_left(const replica& /*left*/, removal /*why*/) override {}
     void replica_leaving(const replica& /*which*/) override {}
     void replica_paused(const replica& /*which*/, duration /*pause*/) override {}
