Requests that crash replicas are quarantined on all hosts

Cause: a lost attempt counted against the replica only, and was repeated at the next one; nothing related losses to the request, neither within a host nor between hosts.

crash_detector: a request that was lost at three replicas and answered by none is suspect. Other requests at those replicas are lost with it, but have answers from other shards, which clear them. A lost attempt of a scatter therefore waits for an answer of another shard, a hedge delay at most, before it is repeated. request_quarantine: a suspect request is refused at once for ten seconds, and for ten minutes once the store shows that three of the replicas have ended, so that connections that were reset for another reason do not keep a request out. leased_notice writes the key that tells the other hosts, also those that start later; it is written again when the store is restored.

--- a/tanagerspur/forwarding/forwarder.cpp
+++ b/tanagerspur/forwarding/forwarder.cpp
@@ -44,6 +44,7 @@
     , m_environment(environment)
     , m_choice({.own_zone = options.own_zone}, options.seed)
     , m_admission(options.admission)
+    , m_crashes(options.crashes)
     , m_splits(options.seed + 1)
     , m_random(options.seed + 2)
     , m_slack(options.retries.length)
@@ -301,6 +302,7 @@
                                               : sending::no_replica;
     const std::uint64_t number = m_next_attempt++;
     m_attempts[number] = {.exchange = current.id,
+                          .request = current.request,
                           .leg = leg_index,
                           .to = to,
                           .route = current.matched_route->name,
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -8,6 +8,8 @@
 //  - a request that is not idempotent is sent again only after proof that it did not run;
 //  - 503 is answered only if no replica can have run the request;
 //  - extra attempts stay within the retry budget of their service;
+//  - a lost attempt of a scatter is repeated once a replica has answered the scatter, or after a
+//    hedge delay; not at all if it was lost at several replicas by then;
 //  - every request is answered once, by its deadline.
 
 #ifndef TANAGERSPUR_FORWARDING_FORWARDER_HPP
@@ -19,6 +21,7 @@
 #include "tanagerspur/forwarding/replica_choice.hpp"
 #include "tanagerspur/forwarding/retry_window.hpp"
 #include "tanagerspur/forwarding/scatter_admission.hpp"
+#include "tanagerspur/quarantine/crash_detector.hpp"
 #include "tanagerspur/routing/route_table.hpp"
 #include "tanagerspur/routing/split_picker.hpp"
 
@@ -48,6 +51,7 @@
     // other replicas. Above one, because a failure may cost the whole answer.
     double failure_cost = 3;
     admission_options admission;
+    crash_detector_options crashes;
     partial_answer_options partial;
     // Maximum wait for a free connection, as a share of the route's latency objective. Absorbs
     // bursts of callers that retry at the same time; a leg that still waits after it is refused.
@@ -66,6 +70,9 @@
 // listed as missing.
 inline constexpr std::string_view cause_not_asked = "not_asked";
 
+// Cause of a request that is not passed on, or not any further, because it crashes replicas.
+inline constexpr std::string_view cause_crashes_replicas = "crashes_replicas";
+
 // Counts since the start of the process, for metrics.
 struct forwarder_counters
 {
@@ -83,6 +90,10 @@
     std::uint64_t waited_for_connection = 0;
     // Legs that failed because no replica wanted requests.
     std::uint64_t held_back = 0;
+    // Lost attempts that were not repeated at once, because their requests might crash replicas.
+    std::uint64_t postponed_repeats = 0;
+    // Requests that were ended because they crash replicas.
+    std::uint64_t ended_as_suspect = 0;
     // Scatters that admission rejected before anything was sent.
     std::uint64_t rejected_by_admission = 0;
 };
@@ -170,6 +181,9 @@
     virtual void wake_at(exchange_id exchange, time_point when) = 0;
     virtual void on_exchange_finished(const exchange_summary& summary) = 0;
     virtual void on_attempt_event(const attempt_event& event) = 0;
+    // The request was lost at each of these replicas and answered by none.
+    virtual void on_suspect(const caller_request& request,
+                            const std::vector<replica_incarnation>& lost_at) = 0;
 };
 
 class forwarder
@@ -196,6 +210,9 @@
     // shutdown.
     void expire_all(time_point now);
 
+    // Ends the open requests with this fingerprint, because they crash replicas.
+    void end_all(const request_fingerprint& request, time_point now);
+
     // Sets this host's share of the retry slack of each service, in extra attempts per window.
     void set_retry_slack(double slack, time_point now);
 
@@ -241,6 +258,8 @@
         std::vector<std::uint64_t> tried;
         std::vector<std::uint64_t> attempts_in_flight;
         time_point hedge_at = never;
+        // Its attempt was lost and is not repeated yet.
+        bool is_postponed = false;
         // When the wait for a free connection ends; never while the leg does not wait.
         time_point wait_until = never;
         waiting_key wait_key;
@@ -262,12 +281,19 @@
         std::vector<leg> legs;
         // When the environment's timer fires; never while no timer is set.
         time_point timer = never;
+        // Until then lost attempts are not repeated; never before the first loss.
+        time_point postponed_until = never;
+        bool is_suspect = false;
+        // A replica has answered an attempt, so the request does not crash replicas.
+        bool has_answer = false;
         std::uint32_t attempts = 0;
         std::uint32_t extra_attempts = 0;
     };
     struct attempt
     {
         exchange_id exchange;
+        // Null once the exchange has ended with an answer of a replica.
+        std::shared_ptr<const caller_request> request;
         std::size_t leg = 0;
         replica_ref to;
         std::string route;
@@ -319,12 +345,22 @@
     void serve_waiting_leg(const service_id& service, time_point now);
     // Sends an extra attempt if the route's max_attempts and the retry budget allow it.
     bool send_again(exchange& current, std::size_t leg_index, attempt_kind kind, time_point now);
+    void follow_crashes(const attempt& ended, exchange* current, attempt_result result,
+                        time_point now);
     void record_outcome(const attempt& ended, std::uint64_t number, const attempt_outcome& outcome,
                         time_point now);
     void report_attempt(const exchange& current, const attempt& ended,
                         const attempt_outcome& outcome, time_point now);
     void leg_attempt_ended(exchange& current, std::size_t leg_index, attempt_outcome outcome,
                            time_point now);
+    // True if the request may be one that crashes replicas: it was lost, and no replica has
+    // answered it yet.
+    bool may_crash_replicas(const exchange& current, time_point now) const;
+    // Ends a request that is suspect, or repeats its lost attempts, once either can be decided.
+    void decide_postponed(exchange& current, time_point now);
+    void repeat_or_fail(exchange& current, std::size_t leg_index, std::string_view cause,
+                        time_point now);
+    void fail_pending_legs(exchange& current, std::string_view cause);
     void fail_leg(leg& current_leg, std::string_view cause);
     // Answers the exchange if its answer is final or due, else sets its timer.
     void answer_if_due(exchange& current, time_point now);
@@ -344,6 +380,7 @@
     forwarder_environment& m_environment;
     replica_choice m_choice;
     scatter_admission m_admission;
+    crash_detector m_crashes;
     split_picker m_splits;
     std::mt19937_64 m_random;
     std::map<std::string, route_latency> m_latencies;
--- a/tanagerspur/forwarding/forwarder_answers.cpp
+++ b/tanagerspur/forwarding/forwarder_answers.cpp
@@ -145,7 +145,7 @@
 
 // Ends the exchange and destroys it. Attempts that are still in flight may go on for a while,
 // since closing their connections would cost more than their answers. If the caller has cancelled
-// an idempotent request, they are aborted.
+// an idempotent request, or if it crashes replicas, they are aborted.
 void forwarder::finish(exchange& current, caller_answer* answer, std::string_view cause,
                        time_point now)
 {
@@ -178,7 +178,8 @@
             summary.missing += (summary.missing.empty() ? "" : ",") + each.service.value() + ":" +
                                std::string{each.cause};
     }
-    const bool may_continue = answer != nullptr || !current.matched_route->is_idempotent;
+    const bool may_continue =
+        (answer != nullptr && !current.is_suspect) || !current.matched_route->is_idempotent;
     const std::unique_ptr<exchange> ended = std::move(m_exchanges[current.id.value()]);
     m_exchanges.erase(current.id.value());
     m_environment.on_exchange_finished(summary);
@@ -186,6 +187,9 @@
         m_environment.answer(ended->id, std::move(*answer));
     for (const std::uint64_t number : remaining)
     {
+        const auto known = m_attempts.find(number);
+        if (ended->has_answer && known != m_attempts.end())
+            known->second.request = nullptr;
         if (!may_continue)
             m_environment.abort(number);
         else if (ended->matched_route->is_idempotent)
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -4,6 +4,7 @@
 #include "tanagerspur/forwarding/forwarder.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerspur
 {
@@ -93,17 +94,39 @@
     record_outcome(ended, number, outcome, now);
     count_outcome(ended.to->record.service, outcome);
     const auto owner = m_exchanges.find(ended.exchange.value());
-    if (owner != m_exchanges.end())
+    exchange* const open = owner != m_exchanges.end() ? owner->second.get() : nullptr;
+    follow_crashes(ended, open, outcome.result, now);
+    if (open != nullptr)
     {
-        exchange& current = *owner->second;
+        exchange& current = *open;
         std::erase(current.legs[ended.leg].attempts_in_flight, number);
         report_attempt(current, ended, outcome, now);
         leg_attempt_ended(current, ended.leg, std::move(outcome), now);
+        decide_postponed(current, now);
         answer_if_due(current, now);
     }
     serve_waiting_leg(ended.to->record.service, now);
 }
 
+void forwarder::follow_crashes(const attempt& ended, exchange* current, attempt_result result,
+                               time_point now)
+{
+    const bool is_answered = result == attempt_result::answered;
+    if (is_answered && current != nullptr)
+        current->has_answer = true;
+    if (ended.request == nullptr || (current != nullptr && current->has_answer && !is_answered))
+        return;
+    const request_fingerprint& request = ended.request->fingerprint;
+    if (is_answered)
+        m_crashes.answered(request);
+    if (result != attempt_result::failed)
+        return;
+    m_crashes.lost(request, {ended.to->record.id, ended.to->record.started_ms}, now);
+    // An open exchange is still to decide.
+    if (current == nullptr && m_crashes.is_suspect(request))
+        m_environment.on_suspect(*ended.request, m_crashes.lost_at(request));
+}
+
 void forwarder::report_attempt(const exchange& current, const attempt& ended,
                                const attempt_outcome& outcome, time_point now)
 {
@@ -157,16 +180,101 @@
         current_leg.may_have_run = true;
     if (is_answer)
         current_leg.answer = std::move(outcome.answer);
+    if (!current_leg.attempts_in_flight.empty())
+        return;
+    if (outcome.result == attempt_result::failed && current.postponed_until == never)
+        current.postponed_until = now + hedge_delay(*current.matched_route);
     const bool may_repeat =
         current.matched_route->is_idempotent || outcome.result == attempt_result::refused;
-    if (may_repeat && current_leg.attempts_in_flight.empty() && now < current.deadline &&
-        send_again(current, leg_index, attempt_kind::repeat, now))
+    if (!may_repeat)
+        return fail_leg(current_leg, to_string(outcome.result));
+    if (outcome.result == attempt_result::failed && may_crash_replicas(current, now))
     {
+        ++m_counters.postponed_repeats;
+        current_leg.is_postponed = true;
+        current_leg.hedge_at = never;
+        return;
+    }
+    repeat_or_fail(current, leg_index, to_string(outcome.result), now);
+}
+
+void forwarder::repeat_or_fail(exchange& current, std::size_t leg_index, std::string_view cause,
+                               time_point now)
+{
+    if (now < current.deadline && send_again(current, leg_index, attempt_kind::repeat, now))
         ++m_counters.retries;
+    else
+        fail_leg(current.legs[leg_index], cause);
+}
+
+// The legs of a scatter run at the same time, so that one that harms no replica soon has an answer.
+// A request to one replica gives no such sign; it is repeated until it is suspect.
+bool forwarder::may_crash_replicas(const exchange& current, time_point now) const
+{
+    const request_fingerprint& request = current.request->fingerprint;
+    if (current.has_answer)
+        return false;
+    if (m_crashes.is_suspect(request))
+        return true;
+    return current.legs.size() > 1 && now < current.postponed_until &&
+           !m_crashes.lost_at(request).empty();
+}
+
+// While attempts are in flight, one of them may still be answered.
+void forwarder::decide_postponed(exchange& current, time_point now)
+{
+    if (current.postponed_until == never || current.is_suspect)
+        return;
+    const bool has_attempt_in_flight =
+        std::any_of(current.legs.begin(), current.legs.end(),
+                    [](const leg& each) { return !each.attempts_in_flight.empty(); });
+    const bool is_over = !has_attempt_in_flight || now >= current.postponed_until;
+    if (is_over && !current.has_answer && m_crashes.is_suspect(current.request->fingerprint))
+    {
+        current.is_suspect = true;
+        m_environment.on_suspect(*current.request, m_crashes.lost_at(current.request->fingerprint));
+        return fail_pending_legs(current, cause_crashes_replicas);
+    }
+    if (!is_over && may_crash_replicas(current, now))
         return;
+    for (std::size_t i = 0; i < current.legs.size(); ++i)
+    {
+        leg& each = current.legs[i];
+        if (!std::exchange(each.is_postponed, false) || each.current_state != leg::state::pending)
+            continue;
+        repeat_or_fail(current, i, to_string(attempt_result::failed), now);
+    }
+}
+
+void forwarder::fail_pending_legs(exchange& current, std::string_view cause)
+{
+    ++m_counters.ended_as_suspect;
+    for (leg& each : current.legs)
+    {
+        if (each.current_state != leg::state::pending)
+            continue;
+        stop_waiting(each);
+        fail_leg(each, cause);
+    }
+}
+
+void forwarder::end_all(const request_fingerprint& request, time_point now)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, current] : m_exchanges)
+        if (current->request->fingerprint == request)
+            ids.push_back(id);
+    for (const std::uint64_t id : ids)
+    {
+        // Answering one exchange may end others.
+        const auto found = m_exchanges.find(id);
+        if (found == m_exchanges.end())
+            continue;
+        exchange& current = *found->second;
+        current.is_suspect = true;
+        fail_pending_legs(current, cause_crashes_replicas);
+        answer_if_due(current, now);
     }
-    if (current_leg.attempts_in_flight.empty())
-        fail_leg(current_leg, to_string(outcome.result));
 }
 
 void forwarder::send_due_hedges(exchange& current, time_point now)
@@ -177,6 +285,11 @@
         if (current_leg.current_state != leg::state::pending || now < current_leg.hedge_at)
             continue;
         current_leg.hedge_at = never;
+        if (may_crash_replicas(current, now))
+        {
+            current_leg.hedge_at = current.postponed_until > now ? current.postponed_until : never;
+            continue;
+        }
         // Free connections are left to the first attempts that wait for them.
         if (m_waiting.contains(current_leg.service))
             continue;
@@ -193,6 +306,7 @@
         return;
     exchange& current = *found->second;
     current.timer = never;
+    decide_postponed(current, now);
     if (now < current.deadline)
         send_due_hedges(current, now);
     expire_waits(current, now);
@@ -220,7 +334,8 @@
         done += each.current_state == leg::state::done ? 1 : 0;
         pending += each.current_state == leg::state::pending ? 1 : 0;
         if (each.current_state == leg::state::pending)
-            next = std::min({next, each.hedge_at, each.wait_until});
+            next = std::min({next, each.hedge_at, each.wait_until,
+                             each.is_postponed ? current.postponed_until : never});
     }
     const std::size_t needed = needed_parts(current);
     const bool cannot_succeed = done + pending < needed;
--- a/tanagerspur/forwarding/messages.hpp
+++ b/tanagerspur/forwarding/messages.hpp
@@ -5,6 +5,7 @@
 
 #include "tanagerspur/common/ids.hpp"
 #include "tanagerspur/common/time.hpp"
+#include "tanagerspur/quarantine/request_fingerprint.hpp"
 #include "tanagerspur/registry/replica_estimate.hpp"
 #include "tanagerspur/registry/replica_restrictions.hpp"
 
@@ -33,6 +34,8 @@
     std::vector<header_field> fields;
     std::string body;
     request_id id;
+    // The same for each request that is the same to a replica.
+    request_fingerprint fingerprint;
     // How long the caller waits, from the arrival of the request.
     std::optional<duration> caller_timeout;
     // Estimated time from the caller's first packet to the arrival of the request, plus the time
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -3,6 +3,8 @@
 #include "tanagerspur/common/http_status.hpp"
 #include "tanagerspur/gateway/startup_retry_after.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace tanagerspur
@@ -108,6 +110,13 @@
     if (m_is_stopping &&
         !may_start_request(stop_times(), boot_now() - m_stop_requested_at, on->latency_objective))
         return refuse(session, inbound, status_unavailable, "stopping");
+    inbound.request.fingerprint =
+        fingerprint_of(inbound.host, inbound.request.method, target, inbound.request.body);
+    if (const auto left = m_quarantine.time_left(inbound.request.fingerprint, boot_now()))
+    {
+        ++m_quarantined_requests;
+        return refuse(session, inbound, status_unavailable, cause_crashes_replicas, left);
+    }
     const duration round_trip =
         inbound.round_trip.count() > 0 ? inbound.round_trip : default_round_trip;
     inbound.request.network_time =
@@ -122,7 +131,7 @@
 }
 
 void gateway::refuse(session_id session, const inbound_request& request, int status,
-                     std::string_view why)
+                     std::string_view why, std::optional<duration> retry_after)
 {
     m_log.write_limited("request_refused",
                         {{"request", request.request.id.value()},
@@ -133,7 +142,9 @@
                         boot_now());
     caller_answer answer{.status = status};
     // Another host can serve the caller at once while this one stops.
-    if (status == status_unavailable)
+    if (status == status_unavailable && retry_after)
+        answer.retry_after = retry_after;
+    else if (status == status_unavailable)
         answer.retry_after = m_is_stopping ? duration{0}
                                            : startup_retry_after(m_mirror.is_failing(),
                                                                  request.request.caller_timeout);
@@ -193,6 +204,25 @@
                                 boot_now());
 }
 
+void gateway::on_suspect(const caller_request& request,
+                         const std::vector<replica_incarnation>& lost_at)
+{
+    const auto notice = m_quarantine.suspect(request.fingerprint, lost_at, boot_now());
+    m_log.write_limited("request_suspect",
+                        {{"request", request.id.value()},
+                         {"fingerprint", request.fingerprint.value()},
+                         {"target", request.target},
+                         {"replicas", std::to_string(lost_at.size())},
+                         {"quarantined", notice ? "now" : "before"}},
+                        boot_now());
+    if (!notice)
+        return;
+    tell_hosts(*notice);
+    // The forwarder is in the middle of this request.
+    boost::asio::post(m_io, [this, which = request.fingerprint]
+                      { m_forwarder.end_all(which, boot_now()); });
+}
+
 void gateway::unlink_exchange(exchange_id exchange)
 {
     const auto found = m_sessions.find(exchange.value());
@@ -261,6 +291,7 @@
     m_directory.tick(now);
     m_host_monitor.tick(now);
     m_relay.tick(now);
+    confirm_quarantines(now);
     update_load(now, now - due);
     update_registration(now);
     if (m_is_stopping)
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include "tanagerspur/net/http_server.hpp"
 #include "tanagerspur/net/ingress_server.hpp"
 #include "tanagerspur/net/replica_pool.hpp"
+#include "tanagerspur/quarantine/request_quarantine.hpp"
 #include "tanagerspur/registry/replica_registry.hpp"
 #include "tanagerspur/store/host_registration.hpp"
 #include "tanagerspur/store/relay_server.hpp"
@@ -106,6 +107,8 @@
     void wake_at(exchange_id exchange, time_point when) override;
     void on_exchange_finished(const exchange_summary& summary) override;
     void on_attempt_event(const attempt_event& note) override;
+    void on_suspect(const caller_request& request,
+                    const std::vector<replica_incarnation>& lost_at) override;
 
     void on_request(session_id session, inbound_request request) override;
     void on_caller_disconnected(session_id session) override;
@@ -116,11 +119,14 @@
     void apply_configuration(const std::string& value);
     void apply_replica(const replica_id& id, const std::string& value);
     void apply_host(const host_id& id, const std::string& value);
+    void apply_quarantine(const request_fingerprint& request, const std::string& value);
+    void tell_hosts(const quarantine_notice& notice);
+    void confirm_quarantines(time_point now);
     void on_hosts_changed();
     void publish_own_entry();
     void update_registration(time_point now);
     void refuse(session_id session, const inbound_request& request, int status,
-                std::string_view why);
+                std::string_view why, std::optional<duration> retry_after = std::nullopt);
     void unlink_exchange(exchange_id exchange);
     void report_requests(metrics_text& text) const;
     void report_services(metrics_text& text) const;
@@ -153,6 +159,8 @@
     replica_registry m_registry;
     replica_pool m_pool;
     forwarder m_forwarder;
+    request_quarantine m_quarantine;
+    std::uint64_t m_quarantined_requests = 0;
     ingress_server m_ingress;
     store_mirror m_mirror;
     host_registration m_registration;
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -120,6 +120,10 @@
     text.add("store_calls_total", {{"kind", "renewal"}}, calls.renewals);
     text.add("store_calls_failed_total", calls.failures);
     text.add("store_full_reads_total", m_full_reads);
+    text.add("requests_quarantined", m_quarantine.size(boot_now()));
+    text.add("quarantined_requests_refused_total", m_quarantined_requests);
+    text.add("repeats_postponed_total", m_forwarder.counters().postponed_repeats);
+    text.add("requests_ended_as_suspect_total", m_forwarder.counters().ended_as_suspect);
     text.add("store_values_malformed_total", m_malformed_values);
     text.add("unexpected_errors_total", m_unexpected_errors);
     text.add("relay_watches_total", m_store.counters().watches);
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -1,6 +1,7 @@
 // Applies values read from the store: entries of replicas and hosts, and the configuration.
 
 #include "tanagerspur/gateway/gateway.hpp"
+#include "tanagerspur/store/leased_notice.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -65,6 +66,8 @@
                                    {"before", std::to_string(last_known.revision.value())}});
     m_registry.store_restored(boot_now());
     m_registration.store_restored(now.era);
+    for (const quarantine_notice& each : m_quarantine.own_notices(boot_now()))
+        tell_hosts(each);
 }
 
 // Exceptions are caught here because the mirror would otherwise stop, and this host would receive
@@ -123,6 +126,8 @@
             has_own_entry = has_own_entry || *host == m_settings.id;
             apply_host(*host, *each.value);
         }
+        else if (const auto* request = std::get_if<request_fingerprint>(&key))
+            apply_quarantine(*request, *each.value);
         else if (std::holds_alternative<configuration_key>(key))
             apply_configuration(*each.value);
     }
@@ -158,6 +163,12 @@
             m_directory.remove(*host, host_entry_expiry());
         on_hosts_changed();
     }
+    else if (const auto* request = std::get_if<request_fingerprint>(&key))
+    {
+        // A quarantine ends by its time, also if the store has lost the key before.
+        if (change.value)
+            apply_quarantine(*request, *change.value);
+    }
     else if (std::holds_alternative<configuration_key>(key) && change.value)
         apply_configuration(*change.value);
 }
@@ -245,6 +256,49 @@
                 {{"host", id.value()}, {"why", std::get<malformed_value>(decoded).why}});
 }
 
+void gateway::apply_quarantine(const request_fingerprint& request, const std::string& value)
+{
+    const quarantine_value decoded = m_codec.decode_quarantine(request, value);
+    if (const auto* malformed = std::get_if<malformed_value>(&decoded))
+    {
+        ++m_malformed_values;
+        m_log.write_limited("quarantine_malformed",
+                            {{"fingerprint", request.value()}, {"why", malformed->why}},
+                            boot_now());
+        return;
+    }
+    const auto& notice = std::get<quarantine_notice>(decoded);
+    const bool is_new = m_quarantine.heard(notice, boot_now());
+    m_log.write_limited("request_quarantined",
+                        {{"fingerprint", request.value()},
+                         {"ms", std::to_string(notice.length.count() / 1000)},
+                         {"known", is_new ? "false" : "true"}},
+                        boot_now());
+    if (is_new)
+        m_forwarder.end_all(request, boot_now());
+}
+
+void gateway::tell_hosts(const quarantine_notice& notice)
+{
+    std::make_shared<leased_notice>(m_io, m_store, m_codec.quarantine_key(notice.request),
+                                    m_codec.encode_quarantine(notice), notice.length)
+        ->write();
+}
+
+void gateway::confirm_quarantines(time_point now)
+{
+    const auto confirmed =
+        m_quarantine.confirm([this](const replica_incarnation& each)
+                             { return m_registry.has_ended(each.id, each.started_ms); },
+                             now);
+    for (const quarantine_notice& each : confirmed)
+    {
+        m_log.write("quarantine_confirmed", {{"fingerprint", each.request.value()},
+                                             {"ms", std::to_string(each.length.count() / 1000)}});
+        tell_hosts(each);
+    }
+}
+
 void gateway::replica_added(const replica& added)
 {
     m_log.write_limited("replica_added",
--- a/tanagerspur/registry/replica_registry.cpp
+++ b/tanagerspur/registry/replica_registry.cpp
@@ -281,6 +281,12 @@
         remove_now(id, removal::expired, now);
 }
 
+bool replica_registry::has_ended(const replica_id& id, std::uint64_t started_ms) const
+{
+    const auto found = m_by_id.find(id);
+    return found == m_by_id.end() || found->second->record.started_ms != started_ms;
+}
+
 const std::vector<replica_ref>& replica_registry::of_service(const service_id& service) const
 {
     static const std::vector<replica_ref> none;
--- a/tanagerspur/registry/replica_registry.hpp
+++ b/tanagerspur/registry/replica_registry.hpp
@@ -153,6 +153,9 @@
     // Returns the replicas that may get new work.
     const std::vector<replica_ref>& of_service(const service_id& service) const;
 
+    // True if this run of the replica is no longer registered: it has left, or started anew.
+    bool has_ended(const replica_id& id, std::uint64_t started_ms) const;
+
     std::size_t size() const { return m_by_id.size(); }
     // Number of replicas that have a limit.
     std::size_t limited() const;
--- a/tanagerspur/store/store_codec.hpp
+++ b/tanagerspur/store/store_codec.hpp
@@ -5,6 +5,7 @@
 #define TANAGERSPUR_STORE_STORE_CODEC_HPP
 
 #include "tanagerspur/gateway/host_directory.hpp"
+#include "tanagerspur/quarantine/request_quarantine.hpp"
 #include "tanagerspur/registry/replica_registry.hpp"
 #include "tanagerspur/routing/route_table.hpp"
 
@@ -30,11 +31,13 @@
 {
 };
 // The kinds of keys, without their values.
-using store_key = std::variant<unrecognized_key, configuration_key, replica_id, host_id>;
+using store_key =
+    std::variant<unrecognized_key, configuration_key, replica_id, host_id, request_fingerprint>;
 
 using configuration_value = std::variant<malformed_value, routing_configuration>;
 using replica_value = std::variant<malformed_value, replica_record>;
 using host_value = std::variant<malformed_value, host_record>;
+using quarantine_value = std::variant<malformed_value, quarantine_notice>;
 
 class store_codec
 {
@@ -48,6 +51,11 @@
 
     virtual std::string host_key(const host_id& id) const = 0;
     virtual std::string encode_host(const host_record& record) const = 0;
+
+    virtual quarantine_value decode_quarantine(const request_fingerprint& request,
+                                               const std::string& value) const = 0;
+    virtual std::string quarantine_key(const request_fingerprint& request) const = 0;
+    virtual std::string encode_quarantine(const quarantine_notice& notice) const = 0;
 };
 
 } // namespace tanagerspur
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -111,12 +111,13 @@
                 .started_ms = started};
     }
 
-    std::uint64_t begin(route_kind kind)
+    std::uint64_t begin(route_kind kind, const std::string& fingerprint = "")
     {
         const std::uint64_t number = m_next_request++;
         static const std::array paths{"/scatter/x", "/single/x", "/once/x"};
         auto request = std::make_shared<caller_request>();
         request->id = request_id{std::to_string(number)};
+        request->fingerprint = request_fingerprint{fingerprint};
         request->caller_timeout = std::chrono::milliseconds{300};
         m_traces[number] = {.kind = kind, .begun = m_now};
         const route* on = m_table->match("h", paths.at(static_cast<std::size_t>(kind)));
@@ -256,6 +257,11 @@
         trace.answers.push_back(std::move(answer));
     }
 
+    void on_suspect(const caller_request& /*request*/,
+                    const std::vector<replica_incarnation>& lost_at) override
+    {
+        m_suspect_at = lost_at.size();
+    }
     void on_attempt_event(const attempt_event& event) override
     {
         RC_ASSERT(event.request != nullptr && !event.result.empty());
@@ -309,6 +315,8 @@
     // Cause and missing shards of the request that ended last.
     std::string m_last_cause;
     std::string m_last_missing;
+    // Number of replicas at which the last suspect request was lost.
+    std::size_t m_suspect_at = 0;
 
 private:
     void replica_added(const replica&) override {}
@@ -473,6 +481,8 @@
     CPPUNIT_TEST(reserves_last_extra_attempts_for_retries);
     CPPUNIT_TEST(queues_burst_for_connections_by_priority);
     CPPUNIT_TEST(avoids_misdirected_replica);
+    CPPUNIT_TEST(scatter_that_crashes_replicas_is_not_repeated);
+    CPPUNIT_TEST(scatter_that_a_replica_answers_is_repeated_where_it_was_lost);
     CPPUNIT_TEST(merge_matches_full_sort);
     CPPUNIT_TEST_SUITE_END();
 
@@ -502,6 +512,40 @@
         CPPUNIT_ASSERT(holds);
     }
 
+    void scatter_that_crashes_replicas_is_not_repeated()
+    {
+        simulated_network network;
+        const std::uint64_t request = network.begin(route_kind::scatter, "deadly");
+        const std::uint64_t other = network.begin(route_kind::scatter, "deadly");
+        const std::size_t sent = network.m_sent.size();
+        for (const std::uint64_t each : network.open_attempts())
+            if (std::stoull(network.m_sent.at(each).order.request->id.value()) == request)
+                network.end(each, attempt_result::failed);
+        CPPUNIT_ASSERT_EQUAL(sent, network.m_sent.size());
+        CPPUNIT_ASSERT_EQUAL(502, network.m_traces[request].answers.at(0).status);
+        CPPUNIT_ASSERT_EQUAL(std::string{cause_crashes_replicas}, network.m_last_cause);
+        CPPUNIT_ASSERT_EQUAL(shard_count, network.m_suspect_at);
+        network.m_forwarder.end_all(request_fingerprint{"deadly"}, network.m_now);
+        CPPUNIT_ASSERT_EQUAL(502, network.m_traces[other].answers.at(0).status);
+        CPPUNIT_ASSERT_EQUAL(shard_count, network.m_aborted.size());
+    }
+
+    void scatter_that_a_replica_answers_is_repeated_where_it_was_lost()
+    {
+        simulated_network network;
+        const std::uint64_t request = network.begin(route_kind::scatter, "harmless");
+        const std::vector<std::uint64_t> first = network.open_attempts();
+        for (std::size_t i = 0; i + 1 < first.size(); ++i)
+            network.end(first[i], attempt_result::failed);
+        CPPUNIT_ASSERT_EQUAL(first.size(), network.m_sent.size());
+        network.end(first.back(), attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(2 * first.size() - 1, network.m_sent.size());
+        for (const std::uint64_t each : network.open_attempts())
+            network.end(each, attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(200, network.m_traces[request].answers.at(0).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, network.m_suspect_at);
+    }
+
     void skips_shard_without_replicas_when_coverage_allows()
     {
         simulated_network network;
--- a/tanagerspur/testing/gateway_fixture.cpp
+++ b/tanagerspur/testing/gateway_fixture.cpp
@@ -61,6 +61,8 @@
     {
         scripted_answer made = script(head);
         const std::string request = field_of(head, "X-Request-Id");
+        if (made.action == scripted_answer::connection_action::close)
+            return made;
         if (made.bytes.empty())
             made.bytes = "HTTP/1.1 200 OK\r\n";
         made.bytes += "X-Request-Id: " + request + "\r\nX-Response-Seal: s-" + request +
@@ -70,6 +72,29 @@
     start_replica(id, std::move(answer));
 }
 
+void gateway_fixture::add_crashing_replica(const std::string& id, const std::string& text)
+{
+    add_replica(id,
+                [text](const std::string& head)
+                {
+                    scripted_answer made;
+                    if (head.find(text) < head.find("\r\n"))
+                        made.action = scripted_answer::connection_action::close;
+                    return made;
+                });
+}
+
+void gateway_fixture::put_quarantine(const quarantine_notice& notice)
+{
+    m_store.set(m_codec.quarantine_key(notice.request), m_codec.encode_quarantine(notice));
+}
+
+bool gateway_fixture::has_key_with_prefix(const std::string& prefix) const
+{
+    const auto found = m_store.items().lower_bound(prefix);
+    return found != m_store.items().end() && found->first.starts_with(prefix);
+}
+
 void gateway_fixture::put_entry(const std::string& id, std::uint64_t started_ms)
 {
     for (const scripted_replica& each : m_replicas)
@@ -87,6 +112,11 @@
                                                 {"born", started_ms}}));
 }
 
+void gateway_fixture::put_odd_entry(const std::string& id, const std::string& value)
+{
+    m_store.set(platform::replica_prefix + id, value);
+}
+
 void gateway_fixture::remove_entry(const std::string& id)
 {
     m_store.erase(platform::replica_prefix + id);
--- a/tanagerspur/testing/gateway_fixture.hpp
+++ b/tanagerspur/testing/gateway_fixture.hpp
@@ -30,6 +30,9 @@
     // Writes the replica's entry; started_ms distinguishes its incarnations.
     void put_entry(const std::string& id, std::uint64_t started_ms);
 
+    // Writes what another writer left among the entries of replicas.
+    void put_odd_entry(const std::string& id, const std::string& value);
+
     void remove_entry(const std::string& id);
 
     // Writes the entry of another host of the same zone and capacity. The host does not run.
@@ -38,6 +41,14 @@
     // Starts a replica that reads requests and never answers, and writes its entry.
     void add_silent_replica(const std::string& id);
 
+    // Starts a replica that closes its connection without an answer when it gets a request whose
+    // target contains the text, and writes its entry.
+    void add_crashing_replica(const std::string& id, const std::string& text);
+
+    // Writes what another host tells of a request.
+    void put_quarantine(const quarantine_notice& notice);
+    bool has_key_with_prefix(const std::string& prefix) const;
+
     // Starts the gateway and waits until it is ready. Its id, zone and addresses are set here.
     void start(gateway_settings settings = {});
 
--- a/tanagerspur/testing/shard_simulation.cpp
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -155,6 +155,10 @@
         outcome.in_time_after_lookup += is_in_time && is_after_lookup ? 1 : 0;
     }
 
+    void on_suspect(const caller_request& /*request*/,
+                    const std::vector<replica_incarnation>& /*lost_at*/) override
+    {
+    }
     void on_attempt_event(const attempt_event& /*note*/) override {}
 
 private:
