--- a/tanagerspur/testing/platform_test.cpp
+++ b/tanagerspur/testing/platform_test.cpp
@@ -59,6 +59,8 @@
     CPPUNIT_TEST(decodes_replica);
     CPPUNIT_TEST(replica_with_malformed_field_is_rejected);
     CPPUNIT_TEST(truncated_or_altered_entries_are_decoded_safely);
+    CPPUNIT_TEST(odd_values_of_other_writers_are_decoded_safely);
+    CPPUNIT_TEST(replica_whose_key_is_no_header_value_is_rejected);
     CPPUNIT_TEST(decodes_configuration);
     CPPUNIT_TEST(malformed_configuration_is_rejected);
     CPPUNIT_TEST(host_entry_survives_round_trip);
@@ -122,6 +124,61 @@
         CPPUNIT_ASSERT(holds);
     }
 
+    // Fuzzes the decoders with values of any shape, in each field and as a whole.
+    void odd_values_of_other_writers_are_decoded_safely()
+    {
+        const std::vector<std::string> odd{std::string(500'000, '['),
+                                           nested(20, "1"),
+                                           nested(40, "1"),
+                                           nested(100'000, "1"),
+                                           R"({"a":)" + nested(31, "{}") + "}",
+                                           "18446744073709551616",
+                                           "18446744073709551615",
+                                           "-9223372036854775809",
+                                           "1e308",
+                                           "1e400",
+                                           "-1e400",
+                                           std::string(400, '9'),
+                                           "1.0",
+                                           "\"10.1.2.3:65536\"",
+                                           "\"10.1.2.3:18446744073709551697\"",
+                                           "\"10.1.2.3:-1\"",
+                                           "\"[::1]:80\"",
+                                           "\"\\ud800\"",
+                                           "\"\\u0000\"",
+                                           "\"" + std::string(100'000, 'x') + "\"",
+                                           "NaN",
+                                           "",
+                                           std::string("\0", 1)};
+        const bool holds = rc::check(
+            [&odd]
+            {
+                std::string text = *rc::gen::element(replica_text, configuration_text);
+                const auto edits = *rc::gen::inRange(1, 4);
+                for (int i = 0; i < edits; ++i)
+                {
+                    const auto from = *rc::gen::inRange<std::size_t>(0, text.size());
+                    // A whole value, where one begins here.
+                    const std::size_t begin = std::min(text.size(), text.find(':', from) + 1);
+                    const std::size_t end = std::min(text.find_first_of(",}", begin), text.size());
+                    text.replace(begin, end - begin, *rc::gen::elementOf(odd));
+                }
+                check_decoders(text);
+            });
+        CPPUNIT_ASSERT(holds);
+        for (const std::string& each : odd)
+            check_decoders(each);
+    }
+
+    void replica_whose_key_is_no_header_value_is_rejected()
+    {
+        const platform::codec codec;
+        CPPUNIT_ASSERT(std::holds_alternative<replica_id>(codec.decode_key("servers/i-7f")));
+        for (const char* id : {"", "a\r\nX-Request-Id: 1", "a b", "\x01", "\x7f", "\xc3\xa9"})
+            CPPUNIT_ASSERT_MESSAGE(id, std::holds_alternative<unrecognized_key>(
+                                           codec.decode_key(std::string{"servers/"} + id)));
+    }
+
     void decodes_configuration()
     {
         const configuration_value value =
@@ -258,6 +315,27 @@
     }
 
 private:
+    static std::string nested(std::size_t depth, const std::string& inner)
+    {
+        return std::string(depth, '[') + inner + std::string(depth, ']');
+    }
+
+    // Decodes the text as each kind of value; what is accepted is within its bounds.
+    static void check_decoders(const std::string& text)
+    {
+        const platform::codec codec;
+        const replica_value replica = codec.decode_replica(replica_id{"i"}, text);
+        if (const auto* record = std::get_if<replica_record>(&replica))
+        {
+            RC_ASSERT(record->address.port != 0);
+            RC_ASSERT(record->slots >= 1U && record->slots <= 100'000U);
+            RC_ASSERT(record->warmup_left <= std::chrono::hours{24});
+        }
+        codec.decode_configuration(text);
+        codec.decode_host(host_id{"h"}, text);
+        codec.decode_quarantine(request_fingerprint{"f"}, text);
+    }
+
     // Also false if the value is not valid JSON.
     static bool is_usable_with_field(const char* name, const char* value)
     {
