A query that replicas answer is not quarantined with one that crashes them

Cause: what a request had been before was forgotten with each answer. The detector now remembers the latest answered requests; these are never suspect. A host that has had an answer ignores the quarantine that another host tells of, and the hosts that read the store lift it for all (quarantine_contradicted).

--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -133,6 +133,11 @@
                   .sent = boot_now()};
     request.is_host_sound = m_host->without_accident_since() < request.sent && !m_host->is_paused();
     http_call call{.path = path_of(request.kind)};
+    if (request.kind != request_kind::at_most_once && m_world.draws_deadly_request())
+    {
+        request.is_deadly = true;
+        call.path += m_world.deadly_path();
+    }
     call.fields["host"] = soak_world::site;
     call.fields[lower_case(header_names().request_id)] = request.id;
     call.fields[lower_case(header_names().deadline_ms)] =
@@ -163,7 +168,7 @@
         check_lost(request);
     }
     // A request that was never sent is asked again elsewhere.
-    if (outcome.stage != call_stage::not_sent)
+    if (outcome.stage != call_stage::not_sent && !request.is_deadly)
         m_world.count_answer(is_good, request.sent);
     schedule();
 }
--- a/soak/soak_caller.hpp
+++ b/soak/soak_caller.hpp
@@ -43,6 +43,7 @@
         time_point sent;
         // The host had no accident for a while when the request was sent.
         bool is_host_sound = false;
+        bool is_deadly = false;
     };
 
     void schedule();
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -70,6 +70,10 @@
     const stand_ins::run_log& runs() const { return m_log; }
     void violation(const std::string& what);
     void count_answer(bool is_good, time_point when);
+    // True for a few of the requests while one that crashes replicas is sent by many callers.
+    bool draws_deadly_request();
+    // What is added to the paths of these requests.
+    std::string deadly_path() const;
 
     // A success on the route that moves with each version: which version served it, against what
     // the host must know and has shown before.
@@ -97,6 +101,8 @@
     void strike_store();
     void restore_store(duration age, duration length);
     void strike_replica();
+    void send_deadly_requests(duration length);
+    void check_deadly_requests();
     void later(duration wait, std::function<void()> action);
     void tick();
     void final_checks();
@@ -124,6 +130,8 @@
     time_point m_store_calm_since{};
     std::uint64_t m_version = 0;
     std::string m_configuration;
+    time_point m_deadly_until{};
+    std::uint64_t m_deadly_requests = 0;
     // When the store acknowledged each version.
     std::map<std::uint64_t, time_point> m_acknowledged;
     std::map<std::pair<const soak_host*, int>, shown_version> m_shown;
--- a/stand_ins/replica_stand_in.cpp
+++ b/stand_ins/replica_stand_in.cpp
@@ -122,10 +122,24 @@
         reply.fields[header_names().limit] = std::to_string(m_faults.limit);
 }
 
+void replica_stand_in::restart_in(memory_store& store)
+{
+    ++m_started_ms;
+    m_sequence = 0;
+    if (m_state != nullptr)
+        write_entry(store, m_state);
+}
+
 void replica_stand_in::handle(http_call call, std::uint64_t token, http_responder respond)
 {
     if (call.field(lower_case(header_names().expected_replica)) != m_id)
         return respond({.status = 421});
+    if (call.path.find(deadly_text) != std::string::npos)
+    {
+        m_log.crashes[call.path].push_back(
+            {call.field(lower_case(header_names().request_id)), boot_now()});
+        return m_log.crash(*this);
+    }
     if (chance() < m_faults.refused || m_running >= slots + queue)
         return respond(refusal(503));
     run(call, token, respond);
--- a/stand_ins/replica_stand_in.hpp
+++ b/stand_ins/replica_stand_in.hpp
@@ -31,6 +31,15 @@
     time_point begun;
 };
 
+class replica_stand_in;
+
+// A replica that ended because of a request.
+struct crash_record
+{
+    std::string request;
+    time_point when;
+};
+
 // What all replicas did.
 struct run_log
 {
@@ -40,6 +49,10 @@
     std::vector<std::string> late_runs;
     // True while every host has been able to reach the store for long enough to know who leaves.
     std::function<bool()> is_calm;
+    // By the path of the requests.
+    std::map<std::string, std::vector<crash_record>> crashes;
+    // Ends the replica for a while.
+    std::function<void(replica_stand_in&)> crash;
 };
 
 struct replica_faults
@@ -69,6 +82,8 @@
     void remove_from(memory_store& store);
     // Writes again what the store has lost.
     void write_again(memory_store& store);
+    // Starts anew after a crash.
+    void restart_in(memory_store& store);
 
     void set_faults(const replica_faults& faults) { m_faults = faults; }
     loopback_proxy& link() { return m_link; }
@@ -108,6 +123,9 @@
     std::set<std::uint64_t> m_abandoned;
 };
 
+// Requests with paths that contain this text crash the replicas that run them.
+inline constexpr std::string_view deadly_text = "/deadly";
+
 // The records that a replica of the service returns for a request: the same from each of them.
 std::string records_of(const std::string& service, const std::string& request);
 
--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -213,6 +213,12 @@
     // Ends the open requests with this fingerprint, because they crash replicas.
     void end_all(const request_fingerprint& request, time_point now);
 
+    // True if a replica has answered a request with this fingerprint lately.
+    bool was_answered(const request_fingerprint& request) const
+    {
+        return m_crashes.was_answered(request);
+    }
+
     // Sets this host's share of the retry slack of each service, in extra attempts per window.
     void set_retry_slack(double slack, time_point now);
 
@@ -284,7 +290,7 @@
         // Until then lost attempts are not repeated; never before the first loss.
         time_point postponed_until = never;
         bool is_suspect = false;
-        // A replica has answered an attempt, so the request does not crash replicas.
+        // A replica has answered an attempt with a success, so the request does not crash replicas.
         bool has_answer = false;
         std::uint32_t attempts = 0;
         std::uint32_t extra_attempts = 0;
@@ -345,7 +351,7 @@
     void serve_waiting_leg(const service_id& service, time_point now);
     // Sends an extra attempt if the route's max_attempts and the retry budget allow it.
     bool send_again(exchange& current, std::size_t leg_index, attempt_kind kind, time_point now);
-    void follow_crashes(const attempt& ended, exchange* current, attempt_result result,
+    void follow_crashes(const attempt& ended, exchange* current, const attempt_outcome& outcome,
                         time_point now);
     void record_outcome(const attempt& ended, std::uint64_t number, const attempt_outcome& outcome,
                         time_point now);
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -95,7 +95,7 @@
     count_outcome(ended.to->record.service, outcome);
     const auto owner = m_exchanges.find(ended.exchange.value());
     exchange* const open = owner != m_exchanges.end() ? owner->second.get() : nullptr;
-    follow_crashes(ended, open, outcome.result, now);
+    follow_crashes(ended, open, outcome, now);
     if (open != nullptr)
     {
         exchange& current = *open;
@@ -108,10 +108,11 @@
     serve_waiting_leg(ended.to->record.service, now);
 }
 
-void forwarder::follow_crashes(const attempt& ended, exchange* current, attempt_result result,
-                               time_point now)
+void forwarder::follow_crashes(const attempt& ended, exchange* current,
+                               const attempt_outcome& outcome, time_point now)
 {
-    const bool is_answered = result == attempt_result::answered;
+    const bool is_answered =
+        outcome.result == attempt_result::answered && outcome.answer.is_success();
     if (is_answered && current != nullptr)
         current->has_answer = true;
     if (ended.request == nullptr || (current != nullptr && current->has_answer && !is_answered))
@@ -119,7 +120,7 @@
     const request_fingerprint& request = ended.request->fingerprint;
     if (is_answered)
         m_crashes.answered(request);
-    if (result != attempt_result::failed)
+    if (outcome.result != attempt_result::failed)
         return;
     m_crashes.lost(request, {ended.to->record.id, ended.to->record.started_ms}, now);
     // An open exchange is still to decide.
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -18,6 +18,8 @@
 // host yet. The first of them are registered by the time the others choose a reader to follow.
 // Without a configuration nothing can be served, so the delay may be longer.
 constexpr duration first_start_jitter = std::chrono::milliseconds{4'000};
+// How long a notice without a length of its own is in the store.
+constexpr duration min_notice_length = std::chrono::seconds{10};
 constexpr duration restart_jitter = std::chrono::milliseconds{300};
 
 } // namespace
@@ -268,6 +270,17 @@
         return;
     }
     const auto& notice = std::get<quarantine_notice>(decoded);
+    // Another host has not had an answer yet. The few hosts that read the store correct it.
+    if (notice.length.count() > 0 && m_forwarder.was_answered(request))
+    {
+        m_log.write_limited(
+            "quarantine_contradicted",
+            {{"fingerprint", request.value()}, {"told", m_has_read_store ? "true" : "false"}},
+            boot_now());
+        if (m_has_read_store)
+            tell_hosts({.request = request});
+        return;
+    }
     const bool is_new = m_quarantine.heard(notice, boot_now());
     m_log.write_limited("request_quarantined",
                         {{"fingerprint", request.value()},
@@ -281,7 +294,8 @@
 void gateway::tell_hosts(const quarantine_notice& notice)
 {
     std::make_shared<leased_notice>(m_io, m_store, m_codec.quarantine_key(notice.request),
-                                    m_codec.encode_quarantine(notice), notice.length)
+                                    m_codec.encode_quarantine(notice),
+                                    std::max(notice.length, min_notice_length))
         ->write();
 }
 
--- a/tanagerspur/quarantine/crash_detector.cpp
+++ b/tanagerspur/quarantine/crash_detector.cpp
@@ -1,6 +1,7 @@
 #include "tanagerspur/quarantine/crash_detector.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace tanagerspur
 {
@@ -8,7 +9,7 @@
 void crash_detector::lost(const request_fingerprint& request, const replica_incarnation& at,
                           time_point now)
 {
-    if (request == request_fingerprint{})
+    if (request == request_fingerprint{} || was_answered(request))
         return;
     if (!m_losses.contains(request))
         make_room(now);
@@ -20,6 +21,24 @@
         known.replicas.push_back(at);
 }
 
+void crash_detector::answered(const request_fingerprint& request)
+{
+    if (request == request_fingerprint{})
+        return;
+    m_losses.erase(request);
+    m_answered[slot_of(request)] = std::hash<std::string>{}(request.value());
+}
+
+bool crash_detector::was_answered(const request_fingerprint& request) const
+{
+    return m_answered[slot_of(request)] == std::hash<std::string>{}(request.value());
+}
+
+std::size_t crash_detector::slot_of(const request_fingerprint& request) const
+{
+    return std::hash<std::string>{}(request.value()) % m_answered.size();
+}
+
 const std::vector<replica_incarnation>&
 crash_detector::lost_at(const request_fingerprint& request) const
 {
--- a/tanagerspur/quarantine/crash_detector.hpp
+++ b/tanagerspur/quarantine/crash_detector.hpp
@@ -2,8 +2,8 @@
 //
 // A replica that ends takes the connections of all its requests with it, so a lost attempt alone
 // says little about its request. A request is suspect once it was lost at several replicas and none
-// has ever answered it since: any other request that was at those replicas has answers from
-// elsewhere.
+// has answered it: any other request that was at those replicas has answers from elsewhere, or from
+// an earlier time that it was sent.
 
 #ifndef TANAGERSPUR_QUARANTINE_CRASH_DETECTOR_HPP
 #define TANAGERSPUR_QUARANTINE_CRASH_DETECTOR_HPP
@@ -35,6 +35,8 @@
     duration memory = std::chrono::minutes{2};
     // Bounds the memory when many different requests are lost.
     std::size_t max_requests = 4'096;
+    // Number of answered requests that are remembered, the latest ones with few exceptions.
+    std::size_t answered_slots = 8'192;
 };
 
 class crash_detector
@@ -42,21 +44,23 @@
 public:
     explicit crash_detector(crash_detector_options options = {})
         : m_options(options)
+        , m_answered(options.answered_slots)
     {
     }
 
     // The connection of an attempt ended without an answer.
     void lost(const request_fingerprint& request, const replica_incarnation& at, time_point now);
 
-    // A replica answered the request, with a success or a failure, and went on.
-    void answered(const request_fingerprint& request) { m_losses.erase(request); }
+    // A replica answered the request with a success.
+    void answered(const request_fingerprint& request);
+    bool was_answered(const request_fingerprint& request) const;
 
     bool is_suspect(const request_fingerprint& request) const
     {
         return lost_at(request).size() >= m_options.min_replicas;
     }
 
-    // Replicas at which the request was lost since it was last answered.
+    // Replicas at which the request was lost; none if it was answered before.
     const std::vector<replica_incarnation>& lost_at(const request_fingerprint& request) const;
 
     std::size_t followed() const { return m_losses.size(); }
@@ -69,9 +73,12 @@
     };
 
     void make_room(time_point now);
+    std::size_t slot_of(const request_fingerprint& request) const;
 
     crash_detector_options m_options;
     std::map<request_fingerprint, losses> m_losses;
+    // Hashes of answered requests; a later one takes the slot of an earlier one.
+    std::vector<std::size_t> m_answered;
 };
 
 } // namespace tanagerspur
--- a/tanagerspur/quarantine/request_quarantine.cpp
+++ b/tanagerspur/quarantine/request_quarantine.cpp
@@ -24,6 +24,11 @@
 bool request_quarantine::heard(const quarantine_notice& notice, time_point now)
 {
     const bool is_known = time_left(notice.request, now).has_value();
+    if (notice.length.count() == 0)
+    {
+        m_entries.erase(notice.request);
+        return false;
+    }
     make_room(now);
     extend(notice.request, now + std::min(notice.length, m_options.confirmed_length));
     return !is_known;
--- a/tanagerspur/quarantine/request_quarantine.hpp
+++ b/tanagerspur/quarantine/request_quarantine.hpp
@@ -33,7 +33,7 @@
 struct quarantine_notice
 {
     request_fingerprint request;
-    // From when it is read.
+    // From when it is read; zero if the request crashes no replicas after all.
     duration length{0};
 };
 
@@ -51,7 +51,7 @@
                                              std::vector<replica_incarnation> lost_at,
                                              time_point now);
 
-    // Another host told of the request. Returns true if it was not in quarantine.
+    // Another host told of the request. Returns true if the quarantine begins with it.
     bool heard(const quarantine_notice& notice, time_point now);
 
     // Confirms quarantines of this host whose replicas have ended, and returns what to tell the
