--- a/stand_ins/kv_stand_in.cpp
+++ b/stand_ins/kv_stand_in.cpp
@@ -108,8 +108,8 @@
     if (m_faults.delay.count() == 0)
         return serve(call, respond);
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_faults.delay);
-    timer->async_wait([this, timer, call = std::move(call), respond = std::move(respond)](
-                          boost::system::error_code) { serve(call, respond); });
+    timer->async_wait([this, timer, call = std::move(call), respond](boost::system::error_code)
+                      { serve(call, respond); });
 }
 
 void kv_stand_in::serve(const http_call& call, const http_responder& respond)
