--- a/stand_ins/kv_stand_in.cpp
+++ b/stand_ins/kv_stand_in.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/kv_stand_in.hpp"
 
+#include "platform/header_names.hpp"
 #include "tanagerspur/common/base64.hpp"
 
 #include <boost/json/parse.hpp>
@@ -100,7 +101,7 @@
 {
     const http_responder respond = [this, reply_to](http_reply reply)
     {
-        reply.fields["Store-Era"] = std::to_string(m_store.era().value());
+        reply.fields[platform::store_era_field] = std::to_string(m_store.era().value());
         reply_to(std::move(reply));
     };
     if (m_faults.is_busy)
