forwarder: one loop over open exchanges for both ways to end them

Cause: end_all was written as a copy of expire_all's loop. Change: for_each_exchange, which both use; the reason why an exchange may be gone stands there once. No change of behaviour; forwarder_test (18) and quarantine_test (8) pass.

--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -367,6 +367,10 @@
     void repeat_or_fail(exchange& current, std::size_t leg_index, std::string_view cause,
                         time_point now);
     void fail_pending_legs(exchange& current, std::string_view cause);
+    // Calls the function for each open exchange that satisfies the condition and is still open when
+    // its turn comes: the end of one exchange may end others.
+    template<class Condition, class Function>
+    void for_each_exchange(Condition condition, Function function);
     void fail_leg(leg& current_leg, std::string_view cause);
     // Answers the exchange if its answer is final or due, else sets its timer.
     void answer_if_due(exchange& current, time_point now);
@@ -400,6 +404,19 @@
     forwarder_counters m_counters;
 };
 
+template<class Condition, class Function>
+void forwarder::for_each_exchange(Condition condition, Function function)
+{
+    std::vector<std::uint64_t> ids;
+    ids.reserve(m_exchanges.size());
+    for (const auto& [id, current] : m_exchanges)
+        if (condition(*current))
+            ids.push_back(id);
+    for (const std::uint64_t id : ids)
+        if (const auto found = m_exchanges.find(id); found != m_exchanges.end())
+            function(*found->second);
+}
+
 } // namespace tanagerspur
 
 #endif
--- a/tanagerspur/forwarding/forwarder_answers.cpp
+++ b/tanagerspur/forwarding/forwarder_answers.cpp
@@ -118,20 +118,12 @@
 
 void forwarder::expire_all(time_point now)
 {
-    std::vector<std::uint64_t> ids;
-    ids.reserve(m_exchanges.size());
-    for (const auto& [id, current] : m_exchanges)
-        ids.push_back(id);
-    for (const std::uint64_t id : ids)
-    {
-        // Answering one exchange may end others.
-        const auto found = m_exchanges.find(id);
-        if (found == m_exchanges.end())
-            continue;
-        exchange& current = *found->second;
-        current.deadline = std::min(current.deadline, now);
-        answer_exchange(current, now);
-    }
+    for_each_exchange([](const exchange&) { return true; },
+                      [this, now](exchange& current)
+                      {
+                          current.deadline = std::min(current.deadline, now);
+                          answer_exchange(current, now);
+                      });
 }
 
 void forwarder::cancel(exchange_id id, time_point now)
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -261,21 +261,14 @@
 
 void forwarder::end_all(const request_fingerprint& request, time_point now)
 {
-    std::vector<std::uint64_t> ids;
-    for (const auto& [id, current] : m_exchanges)
-        if (current->request->fingerprint == request)
-            ids.push_back(id);
-    for (const std::uint64_t id : ids)
-    {
-        // Answering one exchange may end others.
-        const auto found = m_exchanges.find(id);
-        if (found == m_exchanges.end())
-            continue;
-        exchange& current = *found->second;
-        current.is_suspect = true;
-        fail_pending_legs(current, cause_crashes_replicas);
-        answer_if_due(current, now);
-    }
+    for_each_exchange([&request](const exchange& each)
+                      { return each.request->fingerprint == request; },
+                      [this, now](exchange& current)
+                      {
+                          current.is_suspect = true;
+                          fail_pending_legs(current, cause_crashes_replicas);
+                          answer_if_due(current, now);
+                      });
 }
 
 void forwarder::send_due_hedges(exchange& current, time_point now)
