Names and places after reading the change as a newcomer

Cause: fail_pending_legs counted a suspect request, though its name did not say so, and both callers set the flag that belongs to it; a constant stood between a comment and what the comment explains. Change: end_as_suspect does all three; the constant moved. No change of behaviour; forwarder_test and quarantine_test pass.

--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -366,7 +366,8 @@
     void decide_postponed(exchange& current, time_point now);
     void repeat_or_fail(exchange& current, std::size_t leg_index, std::string_view cause,
                         time_point now);
-    void fail_pending_legs(exchange& current, std::string_view cause);
+    // Fails the legs that have no answer.
+    void end_as_suspect(exchange& current);
     // Calls the function for each open exchange that satisfies the condition and is still open when
     // its turn comes: the end of one exchange may end others.
     template<class Condition, class Function>
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -232,9 +232,8 @@
     const bool is_over = !has_attempt_in_flight || now >= current.postponed_until;
     if (is_over && !current.has_answer && m_crashes.is_suspect(current.request->fingerprint))
     {
-        current.is_suspect = true;
         m_environment.on_suspect(*current.request, m_crashes.lost_at(current.request->fingerprint));
-        return fail_pending_legs(current, cause_crashes_replicas);
+        return end_as_suspect(current);
     }
     if (!is_over && may_crash_replicas(current, now))
         return;
@@ -247,15 +246,16 @@
     }
 }
 
-void forwarder::fail_pending_legs(exchange& current, std::string_view cause)
+void forwarder::end_as_suspect(exchange& current)
 {
     ++m_counters.ended_as_suspect;
+    current.is_suspect = true;
     for (leg& each : current.legs)
     {
         if (each.current_state != leg::state::pending)
             continue;
         stop_waiting(each);
-        fail_leg(each, cause);
+        fail_leg(each, cause_crashes_replicas);
     }
 }
 
@@ -265,8 +265,7 @@
                       { return each.request->fingerprint == request; },
                       [this, now](exchange& current)
                       {
-                          current.is_suspect = true;
-                          fail_pending_legs(current, cause_crashes_replicas);
+                          end_as_suspect(current);
                           answer_if_due(current, now);
                       });
 }
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -18,9 +18,9 @@
 // host yet. The first of them are registered by the time the others choose a reader to follow.
 // Without a configuration nothing can be served, so the delay may be longer.
 constexpr duration first_start_jitter = std::chrono::milliseconds{4'000};
+constexpr duration restart_jitter = std::chrono::milliseconds{300};
 // How long a notice without a length of its own is in the store.
 constexpr duration min_notice_length = std::chrono::seconds{10};
-constexpr duration restart_jitter = std::chrono::milliseconds{300};
 
 } // namespace
 
