Other hosts are warned of a query while its first arrival runs

Cause: a scatter was only suspect once all its legs had ended. Its second loss without any answer, 41 ms after the arrival, is enough to warn, as a quarantine holds nothing else up than the same query; if a leg is answered after all, the quarantine is lifted on all hosts.

--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -181,9 +181,11 @@
     virtual void wake_at(exchange_id exchange, time_point when) = 0;
     virtual void on_exchange_finished(const exchange_summary& summary) = 0;
     virtual void on_attempt_event(const attempt_event& event) = 0;
-    // The request was lost at each of these replicas and answered by none.
+    // The request was lost at each of these replicas and answered by none. May be called again with
+    // more replicas; on_cleared follows if the request is answered after all.
     virtual void on_suspect(const caller_request& request,
                             const std::vector<replica_incarnation>& lost_at) = 0;
+    virtual void on_cleared(const caller_request& request) = 0;
 };
 
 class forwarder
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -118,13 +118,15 @@
     if (ended.request == nullptr || (current != nullptr && current->has_answer && !is_answered))
         return;
     const request_fingerprint& request = ended.request->fingerprint;
-    if (is_answered)
-        m_crashes.answered(request);
+    if (is_answered && m_crashes.answered(request))
+        m_environment.on_cleared(*ended.request);
     if (outcome.result != attempt_result::failed)
         return;
     m_crashes.lost(request, {ended.to->record.id, ended.to->record.started_ms}, now);
-    // An open exchange is still to decide.
-    if (current == nullptr && m_crashes.is_suspect(request))
+    // An open scatter goes on until its other legs have ended, but no further one is to begin.
+    const bool is_scatter = current != nullptr && current->legs.size() > 1;
+    if (is_scatter ? m_crashes.is_doubtful(request)
+                   : current == nullptr && m_crashes.is_suspect(request))
         m_environment.on_suspect(*ended.request, m_crashes.lost_at(request));
 }
 
--- a/tanagerspur/gateway/gateway.cpp
+++ b/tanagerspur/gateway/gateway.cpp
@@ -3,8 +3,6 @@
 #include "tanagerspur/common/http_status.hpp"
 #include "tanagerspur/gateway/startup_retry_after.hpp"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 
 namespace tanagerspur
@@ -215,12 +213,20 @@
                          {"replicas", std::to_string(lost_at.size())},
                          {"quarantined", notice ? "now" : "before"}},
                         boot_now());
+    if (notice)
+        tell_hosts(*notice);
+}
+
+void gateway::on_cleared(const caller_request& request)
+{
+    const auto notice = m_quarantine.lift(request.fingerprint, boot_now());
     if (!notice)
         return;
+    m_log.write_limited(
+        "quarantine_lifted",
+        {{"request", request.id.value()}, {"fingerprint", request.fingerprint.value()}},
+        boot_now());
     tell_hosts(*notice);
-    // The forwarder is in the middle of this request.
-    boost::asio::post(m_io, [this, which = request.fingerprint]
-                      { m_forwarder.end_all(which, boot_now()); });
 }
 
 void gateway::unlink_exchange(exchange_id exchange)
--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -119,6 +119,7 @@
     void apply_configuration(const std::string& value);
     void apply_replica(const replica_id& id, const std::string& value);
     void apply_host(const host_id& id, const std::string& value);
+    void on_cleared(const caller_request& request) override;
     void apply_quarantine(const request_fingerprint& request, const std::string& value);
     void tell_hosts(const quarantine_notice& notice);
     void confirm_quarantines(time_point now);
--- a/tanagerspur/quarantine/crash_detector.cpp
+++ b/tanagerspur/quarantine/crash_detector.cpp
@@ -21,12 +21,14 @@
         known.replicas.push_back(at);
 }
 
-void crash_detector::answered(const request_fingerprint& request)
+bool crash_detector::answered(const request_fingerprint& request)
 {
     if (request == request_fingerprint{})
-        return;
+        return false;
+    const bool was_doubtful = is_doubtful(request);
     m_losses.erase(request);
     m_answered[slot_of(request)] = std::hash<std::string>{}(request.value());
+    return was_doubtful;
 }
 
 bool crash_detector::was_answered(const request_fingerprint& request) const
--- a/tanagerspur/quarantine/crash_detector.hpp
+++ b/tanagerspur/quarantine/crash_detector.hpp
@@ -31,6 +31,9 @@
 {
     // Number of replicas that a suspect request was lost at.
     std::size_t min_replicas = 3;
+    // Number of replicas from which on the other hosts are warned of a scatter. Its legs run at the
+    // same time, so that it may soon be lost at more.
+    std::size_t min_replicas_to_warn = 2;
     // How long losses count after the last one.
     duration memory = std::chrono::minutes{2};
     // Bounds the memory when many different requests are lost.
@@ -51,8 +54,9 @@
     // The connection of an attempt ended without an answer.
     void lost(const request_fingerprint& request, const replica_incarnation& at, time_point now);
 
-    // A replica answered the request with a success.
-    void answered(const request_fingerprint& request);
+    // A replica answered the request with a success. Returns true if hosts may have been warned of
+    // it.
+    bool answered(const request_fingerprint& request);
     bool was_answered(const request_fingerprint& request) const;
 
     bool is_suspect(const request_fingerprint& request) const
@@ -60,6 +64,12 @@
         return lost_at(request).size() >= m_options.min_replicas;
     }
 
+    // True if the other hosts should be warned of the request, a scatter.
+    bool is_doubtful(const request_fingerprint& request) const
+    {
+        return lost_at(request).size() >= m_options.min_replicas_to_warn;
+    }
+
     // Replicas at which the request was lost; none if it was answered before.
     const std::vector<replica_incarnation>& lost_at(const request_fingerprint& request) const;
 
--- a/tanagerspur/quarantine/request_quarantine.cpp
+++ b/tanagerspur/quarantine/request_quarantine.cpp
@@ -34,6 +34,15 @@
     return !is_known;
 }
 
+std::optional<quarantine_notice> request_quarantine::lift(const request_fingerprint& request,
+                                                          time_point now)
+{
+    if (!time_left(request, now))
+        return std::nullopt;
+    m_entries.erase(request);
+    return quarantine_notice{.request = request};
+}
+
 std::vector<quarantine_notice>
 request_quarantine::confirm(const std::function<bool(const replica_incarnation&)>& has_ended,
                             time_point now)
--- a/tanagerspur/quarantine/request_quarantine.hpp
+++ b/tanagerspur/quarantine/request_quarantine.hpp
@@ -54,6 +54,10 @@
     // Another host told of the request. Returns true if the quarantine begins with it.
     bool heard(const quarantine_notice& notice, time_point now);
 
+    // The request was answered after all. Returns what to tell the other hosts; nullopt if it was
+    // not in quarantine.
+    std::optional<quarantine_notice> lift(const request_fingerprint& request, time_point now);
+
     // Confirms quarantines of this host whose replicas have ended, and returns what to tell the
     // other hosts of them.
     std::vector<quarantine_notice>
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -262,6 +262,7 @@
     {
         m_suspect_at = lost_at.size();
     }
+    void on_cleared(const caller_request& /*request*/) override { ++m_cleared; }
     void on_attempt_event(const attempt_event& event) override
     {
         RC_ASSERT(event.request != nullptr && !event.result.empty());
@@ -317,6 +318,7 @@
     std::string m_last_missing;
     // Number of replicas at which the last suspect request was lost.
     std::size_t m_suspect_at = 0;
+    std::size_t m_cleared = 0;
 
 private:
     void replica_added(const replica&) override {}
@@ -483,6 +485,7 @@
     CPPUNIT_TEST(avoids_misdirected_replica);
     CPPUNIT_TEST(scatter_that_crashes_replicas_is_not_repeated);
     CPPUNIT_TEST(scatter_that_a_replica_answers_is_repeated_where_it_was_lost);
+    CPPUNIT_TEST(hosts_are_warned_of_scatter_lost_at_two_replicas);
     CPPUNIT_TEST(merge_matches_full_sort);
     CPPUNIT_TEST_SUITE_END();
 
@@ -545,7 +548,19 @@
         for (const std::uint64_t each : network.open_attempts())
             network.end(each, attempt_result::answered);
         CPPUNIT_ASSERT_EQUAL(200, network.m_traces[request].answers.at(0).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, network.m_cleared);
+    }
+
+    void hosts_are_warned_of_scatter_lost_at_two_replicas()
+    {
+        simulated_network network;
+        network.begin(route_kind::scatter, "deadly");
+        const std::vector<std::uint64_t> sent = network.open_attempts();
+        network.end(sent[0], attempt_result::failed);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, network.m_suspect_at);
+        network.end(sent[1], attempt_result::failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, network.m_suspect_at);
+        CPPUNIT_ASSERT_EQUAL(sent.size() - 2, network.open_attempts().size());
     }
 
     void skips_shard_without_replicas_when_coverage_allows()
--- a/tanagerspur/testing/shard_simulation.cpp
+++ b/tanagerspur/testing/shard_simulation.cpp
@@ -159,6 +159,7 @@
                     const std::vector<replica_incarnation>& /*lost_at*/) override
     {
     }
+    void on_cleared(const caller_request& /*request*/) override {}
     void on_attempt_event(const attempt_event& /*note*/) override {}
 
 private:
