A scatter is hedged only once one of its shards has answered

A query that crashes replicas ended two replicas of each shard with one arrival, and other callers were refused until those were back.

A hedge is for a shard that is slower than the others; while none has answered, that says nothing about replicas. Scatters of less than three shards are hedged as before, as two may be slow by chance.

--- a/tanagerspur/forwarding/forwarder.hpp
+++ b/tanagerspur/forwarding/forwarder.hpp
@@ -361,6 +361,9 @@
                         const attempt_outcome& outcome, time_point now);
     void leg_attempt_ended(exchange& current, std::size_t leg_index, attempt_outcome outcome,
                            time_point now);
+    // True if the answers of other shards tell whether a late or lost one is due to the request.
+    static bool has_shards_to_compare(const exchange& current);
+    bool may_hedge(const exchange& current) const;
     // True if the request may be one that crashes replicas: it was lost, and no replica has
     // answered it yet.
     bool may_crash_replicas(const exchange& current, time_point now) const;
--- a/tanagerspur/forwarding/forwarder_outcomes.cpp
+++ b/tanagerspur/forwarding/forwarder_outcomes.cpp
@@ -15,6 +15,8 @@
 // Number of connections that may fail to open before a leg fails. They cost the replicas nothing,
 // so they do not count as attempts.
 constexpr std::uint32_t max_connect_failures = 4;
+// Number of shards from which on it is unlikely that all of them are slow, or lost, by chance.
+constexpr std::size_t min_shards_to_compare = 3;
 
 } // namespace
 
@@ -124,9 +126,9 @@
         return;
     m_crashes.lost(request, {ended.to->record.id, ended.to->record.started_ms}, now);
     // An open scatter goes on until its other legs have ended, but no further one is to begin.
-    const bool is_scatter = current != nullptr && current->legs.size() > 1;
-    if (is_scatter ? m_crashes.is_doubtful(request)
-                   : current == nullptr && m_crashes.is_suspect(request))
+    const bool is_open_scatter = current != nullptr && has_shards_to_compare(*current);
+    if (is_open_scatter ? m_crashes.is_doubtful(request)
+                        : current == nullptr && m_crashes.is_suspect(request))
         m_environment.on_suspect(*ended.request, m_crashes.lost_at(request));
 }
 
@@ -210,6 +212,11 @@
         fail_leg(current.legs[leg_index], cause);
 }
 
+bool forwarder::has_shards_to_compare(const exchange& current)
+{
+    return current.legs.size() >= min_shards_to_compare;
+}
+
 // The legs of a scatter run at the same time, so that one that harms no replica soon has an answer.
 // A request to one replica gives no such sign; it is repeated until it is suspect.
 bool forwarder::may_crash_replicas(const exchange& current, time_point now) const
@@ -219,7 +226,7 @@
         return false;
     if (m_crashes.is_suspect(request))
         return true;
-    return current.legs.size() > 1 && now < current.postponed_until &&
+    return has_shards_to_compare(current) && now < current.postponed_until &&
            !m_crashes.lost_at(request).empty();
 }
 
@@ -272,19 +279,24 @@
                       });
 }
 
+// A hedge is for a shard that is slower than the others. Before the first answer it may be the
+// request itself that takes long, or that crashes replicas.
+bool forwarder::may_hedge(const exchange& current) const
+{
+    return has_shards_to_compare(current) ? current.has_answer
+                                          : !m_crashes.is_suspect(current.request->fingerprint);
+}
+
 void forwarder::send_due_hedges(exchange& current, time_point now)
 {
+    if (!may_hedge(current))
+        return;
     for (std::size_t i = 0; i < current.legs.size(); ++i)
     {
         leg& current_leg = current.legs[i];
         if (current_leg.current_state != leg::state::pending || now < current_leg.hedge_at)
             continue;
         current_leg.hedge_at = never;
-        if (may_crash_replicas(current, now))
-        {
-            current_leg.hedge_at = current.postponed_until > now ? current.postponed_until : never;
-            continue;
-        }
         // Free connections are left to the first attempts that wait for them.
         if (m_waiting.contains(current_leg.service))
             continue;
@@ -329,7 +341,7 @@
         done += each.current_state == leg::state::done ? 1 : 0;
         pending += each.current_state == leg::state::pending ? 1 : 0;
         if (each.current_state == leg::state::pending)
-            next = std::min({next, each.hedge_at, each.wait_until,
+            next = std::min({next, may_hedge(current) ? each.hedge_at : never, each.wait_until,
                              each.is_postponed ? current.postponed_until : never});
     }
     const std::size_t needed = needed_parts(current);
--- a/tanagerspur/testing/forwarder_test.cpp
+++ b/tanagerspur/testing/forwarder_test.cpp
@@ -485,6 +485,7 @@
     CPPUNIT_TEST(avoids_misdirected_replica);
     CPPUNIT_TEST(scatter_that_crashes_replicas_is_not_repeated);
     CPPUNIT_TEST(scatter_that_a_replica_answers_is_repeated_where_it_was_lost);
+    CPPUNIT_TEST(scatter_that_no_shard_has_answered_is_not_hedged);
     CPPUNIT_TEST(hosts_are_warned_of_scatter_lost_at_two_replicas);
     CPPUNIT_TEST(merge_matches_full_sort);
     CPPUNIT_TEST_SUITE_END();
@@ -551,6 +552,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, network.m_cleared);
     }
 
+    void scatter_that_no_shard_has_answered_is_not_hedged()
+    {
+        simulated_network network;
+        network.begin(route_kind::scatter, "deadly");
+        const std::vector<std::uint64_t> sent = network.open_attempts();
+        network.advance(std::chrono::milliseconds{60});
+        CPPUNIT_ASSERT_EQUAL(sent.size(), network.m_sent.size());
+        network.end(sent[0], attempt_result::answered);
+        network.advance(std::chrono::milliseconds{1});
+        CPPUNIT_ASSERT_EQUAL(2 * sent.size() - 1, network.m_sent.size());
+    }
+
     void hosts_are_warned_of_scatter_lost_at_two_replicas()
     {
         simulated_network network;
