Review: cases for answers without a length and for a large backlog of versions

Shown: once about 32 MB of answers without a length have been received, answers of over 128 KB are cut off for good, and a route that was added later is not served (CONFIG); and a machine that the store turned away during many versions of a large configuration acts on the old one (CONFIG).

--- a/review/support/replica.hpp
+++ b/review/support/replica.hpp
@@ -21,6 +21,8 @@
     int queue = 12;
     // How long a request takes.
     milliseconds work{60};
+    // Bytes that are added to the text of an answer.
+    std::size_t padding = 0;
 };
 
 // One run of a request.
@@ -86,9 +88,16 @@
     }
     // Work takes this many times as long.
     void set_slowness(double times) { m_slowness = times; }
+    // Each answer with a number that this divides has no length and ends with its connection; 0 for
+    // none.
+    void set_unframed_each(int number) { m_unframed_each = number; }
+    int unframed_answers() const { return m_unframed_answers; }
     const std::string& id() const { return m_options.id; }
 
-    static std::string body_of(const std::string& id) { return "answer to " + id + "\n"; }
+    static std::string body_of(const std::string& id, std::size_t padding = 0)
+    {
+        return "answer to " + id + "\n" + std::string(padding, 'x');
+    }
 
 private:
     void serve(connection& from)
@@ -119,9 +128,17 @@
         std::this_thread::sleep_for(
             std::chrono::duration_cast<milliseconds>(m_options.work * m_slowness.load()));
         free_slot();
-        return from.write(
-            encode("HTTP/1.1 200 OK", {{"X-Request-Id", id}, {"X-Response-Seal", seal}},
-                   body_of(id)));
+        const std::string body = body_of(id, m_options.padding);
+        const int each = m_unframed_each;
+        if (each == 0 || ++m_answers % each != 0)
+            return from.write(encode("HTTP/1.1 200 OK",
+                                     {{"X-Request-Id", id}, {"X-Response-Seal", seal}}, body));
+        ++m_unframed_answers;
+        m_record.write(m_options.id + " answers " + id + " without a length");
+        from.write(encode("HTTP/1.1 200 OK",
+                          {{"X-Request-Id", id}, {"X-Response-Seal", seal}, {"Connection", "close"}},
+                          body, false));
+        return false;
     }
     bool take_slot()
     {
@@ -145,6 +162,9 @@
     run_list& m_runs;
     record_file& m_record;
     std::atomic<double> m_slowness;
+    std::atomic<int> m_unframed_each = 0;
+    std::atomic<int> m_answers = 0;
+    std::atomic<int> m_unframed_answers = 0;
     int m_sequence = 0;
     std::mutex m_mutex;
     std::condition_variable m_slot_is_free;
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -36,8 +36,35 @@
 class store_stand_in
 {
 public:
+    // An address of the store for one machine, which the store may turn away.
+    class door
+    {
+    public:
+        explicit door(store_stand_in& of)
+            : m_store(of)
+            , m_listener([this](connection& from) { m_store.serve(from, this); })
+        {
+        }
+        std::uint16_t port() const { return m_listener.port(); }
+        // Calls are answered 503 and change nothing.
+        void turn_away(bool is_turned_away) { m_is_turned_away = is_turned_away; }
+        bool turns_away() const { return m_is_turned_away; }
+        // Number of watches that were served here.
+        int watches() const { return m_watches; }
+        // Size of the largest answer to a watch here.
+        std::size_t largest_watch() const { return m_largest_watch; }
+
+    private:
+        friend class store_stand_in;
+        store_stand_in& m_store;
+        std::atomic<bool> m_is_turned_away = false;
+        std::atomic<int> m_watches = 0;
+        std::atomic<std::size_t> m_largest_watch = 0;
+        listener m_listener;
+    };
+
     store_stand_in()
-        : m_listener([this](connection& from) { serve(from); })
+        : m_listener([this](connection& from) { serve(from, nullptr); })
     {
         std::thread{[this] { expire_leases(); }}.detach();
     }
@@ -55,8 +82,6 @@
         const std::lock_guard lock{m_mutex};
         erase(key, ++m_revision);
     }
-    // Sizes of the answers to watches, in order.
-    std::size_t largest_watch_answer() const { return m_largest_watch_answer; }
 
 private:
     struct item
@@ -170,12 +195,27 @@
         return found;
     }
 
-    void serve(connection& from)
+    void serve(connection& from, door* through)
     {
         while (const auto call = from.read(clock::now() + forever))
         {
             std::string body;
-            const int status = answer(*call, body);
+            const bool is_watch = call->target().starts_with("/v1/kv-watch");
+            const auto is_refused = [through]
+            { return through != nullptr && through->turns_away(); };
+            int status = is_refused() ? 503 : answer(*call, body);
+            if (is_refused())
+            {
+                // A watch that was waiting is cut.
+                status = 503;
+                body = "{}";
+            }
+            if (through != nullptr && is_watch && status == 200)
+            {
+                ++through->m_watches;
+                through->m_largest_watch =
+                    std::max<std::size_t>(through->m_largest_watch, body.size());
+            }
             const std::string text = status == 200 ? "OK" : "Refused";
             if (!from.write(encode("HTTP/1.1 " + std::to_string(status) + " " + text,
                                    {{"Content-Type", "application/json"}}, body)))
@@ -275,7 +315,6 @@
                                 R"(,"tombstone":true})";
         }
         body = R"({"events":[)" + events + R"(],"as-of":)" + std::to_string(m_revision) + "}";
-        m_largest_watch_answer = std::max<std::size_t>(m_largest_watch_answer, body.size());
         return 200;
     }
 
@@ -317,7 +356,6 @@
     std::uint64_t m_forgotten = 0;
     std::map<std::uint64_t, lease> m_leases;
     std::uint64_t m_last_lease = 1'000;
-    std::atomic<std::size_t> m_largest_watch_answer = 0;
     // Last, so that it serves only a complete store.
     listener m_listener;
 };
