--- a/review/support/run_case.sh
+++ b/review/support/run_case.sh
@@ -6,8 +6,16 @@
 [[ -x $PROGRAM && -x target/tanagerspur_gateway ]] ||
     { echo "build the deploy file and run review/build.sh first"; exit 2; }
 WORK=$(mktemp -d) || exit 2
-trap 'rm -rf "$WORK"' EXIT
-TROUBLE=${TROUBLE:-1} timeout -s KILL 118 "$PROGRAM" "$WORK" "$FOLDER/record.txt"
+# timeout leads a process group of its own, in which all processes of the case run.
+end_all() {
+    [[ -z ${GROUP:-} ]] || kill -KILL -- "-$GROUP" 2>/dev/null
+    rm -rf "$WORK"
+}
+trap end_all EXIT
+trap 'exit 2' TERM INT HUP
+TROUBLE=${TROUBLE:-1} timeout -s KILL 118 "$PROGRAM" "$WORK" "$FOLDER/record.txt" &
+GROUP=$!
+wait "$GROUP"
 CODE=$?
 ((CODE == 0 || CODE == 1)) || CODE=2
 exit "$CODE"
