--- a/review/support/gateway.hpp
+++ b/review/support/gateway.hpp
@@ -30,8 +30,8 @@
         std::ofstream file{settings_path()};
         file << "[host]\nid = " << name << "\nzone = zone-1\ncores = 0.25\n\n[listen]\n"
              << "callers = 127.0.0.1:" << m_callers << "\nreadiness = 127.0.0.1:" << m_readiness
-             << "\ndirectory = 127.0.0.1:" << m_directory
-             << "\nmetrics = 127.0.0.1:" << free_port() << "\npeers = 127.0.0.1:" << free_port()
+             << "\ndirectory = 127.0.0.1:" << m_directory << "\nmetrics = 127.0.0.1:" << free_port()
+             << "\npeers = 127.0.0.1:" << free_port()
              << "\n\n[platform]\nstore = 127.0.0.1:" << store_port
              << "\n\n[bounds]\nretry_ratio = 0.2\nretry_slack = 54\nretry_window_s = 10\n"
              << "drain_ms = 3000\nstop_within_s = 6\n";
--- a/review/support/http.hpp
+++ b/review/support/http.hpp
@@ -4,21 +4,20 @@
 #define TANAGERSPUR_REVIEW_HTTP_HPP
 
 #include <arpa/inet.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <stdexcept>
 #include <string>
 #include <strings.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -117,8 +116,7 @@
     // Waits for more bytes; false at the end of the connection, on an error or at the deadline.
     bool read_some(clock::time_point deadline)
     {
-        const auto left =
-            std::chrono::duration_cast<milliseconds>(deadline - clock::now()).count();
+        const auto left = std::chrono::duration_cast<milliseconds>(deadline - clock::now()).count();
         pollfd wanted{m_socket, POLLIN, 0};
         if (left <= 0 || ::poll(&wanted, 1, static_cast<int>(left)) <= 0)
             return false;
@@ -153,7 +151,8 @@
             message.fields.emplace_back(line.substr(0, colon), line.substr(value));
             at = stop + 2;
         }
-        const auto length = static_cast<std::size_t>(std::atoll(message.field("Content-Length").c_str()));
+        const auto length =
+            static_cast<std::size_t>(std::atoll(message.field("Content-Length").c_str()));
         while (m_buffer.size() < end + 4 + length)
             if (!read_some(deadline))
                 return std::nullopt;
--- a/review/support/replica.hpp
+++ b/review/support/replica.hpp
@@ -131,13 +131,14 @@
         const std::string body = body_of(id, m_options.padding);
         const int each = m_unframed_each;
         if (each == 0 || ++m_answers % each != 0)
-            return from.write(encode("HTTP/1.1 200 OK",
-                                     {{"X-Request-Id", id}, {"X-Response-Seal", seal}}, body));
+            return from.write(
+                encode("HTTP/1.1 200 OK", {{"X-Request-Id", id}, {"X-Response-Seal", seal}}, body));
         ++m_unframed_answers;
         m_record.write(m_options.id + " answers " + id + " without a length");
-        from.write(encode("HTTP/1.1 200 OK",
-                          {{"X-Request-Id", id}, {"X-Response-Seal", seal}, {"Connection", "close"}},
-                          body, false));
+        from.write(
+            encode("HTTP/1.1 200 OK",
+                   {{"X-Request-Id", id}, {"X-Response-Seal", seal}, {"Connection", "close"}}, body,
+                   false));
         return false;
     }
     bool take_slot()
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -247,7 +247,8 @@
                    std::to_string(ms) + "}";
             return 200;
         }
-        const std::uint64_t number = std::strtoull(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
+        const std::uint64_t number =
+            std::strtoull(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
         const auto found = m_leases.find(number);
         if (found == m_leases.end())
             return 404;
@@ -340,7 +341,8 @@
                 return 404;
         ++m_revision;
         for (const boost::json::value& each : call.at("set-keys").as_array())
-            write(std::string{each.at("key").as_string()}, std::string{each.at("value").as_string()},
+            write(std::string{each.at("key").as_string()},
+                  std::string{each.at("value").as_string()},
                   each.at("lease").to_number<std::uint64_t>(), m_revision);
         for (const boost::json::value& each : call.at("remove").as_array())
             erase(std::string{each.as_string()}, m_revision);
