--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -36,35 +36,8 @@
 class store_stand_in
 {
 public:
-    // An address of the store for one machine, which the store may turn away.
-    class door
-    {
-    public:
-        explicit door(store_stand_in& of)
-            : m_store(of)
-            , m_listener([this](connection& from) { m_store.serve(from, this); })
-        {
-        }
-        std::uint16_t port() const { return m_listener.port(); }
-        // Calls are answered 503 and change nothing.
-        void turn_away(bool is_turned_away) { m_is_turned_away = is_turned_away; }
-        bool turns_away() const { return m_is_turned_away; }
-        // Number of watches that were served here.
-        int watches() const { return m_watches; }
-        // Size of the largest answer to a watch here.
-        std::size_t largest_watch() const { return m_largest_watch; }
-
-    private:
-        friend class store_stand_in;
-        store_stand_in& m_store;
-        std::atomic<bool> m_is_turned_away = false;
-        std::atomic<int> m_watches = 0;
-        std::atomic<std::size_t> m_largest_watch = 0;
-        listener m_listener;
-    };
-
     store_stand_in()
-        : m_listener([this](connection& from) { serve(from, nullptr); })
+        : m_listener([this](connection& from) { serve(from); })
     {
         std::thread{[this] { expire_leases(); }}.detach();
     }
@@ -195,27 +168,12 @@
         return found;
     }
 
-    void serve(connection& from, door* through)
+    void serve(connection& from)
     {
         while (const auto call = from.read(clock::now() + forever))
         {
             std::string body;
-            const bool is_watch = call->target().starts_with("/v1/kv-watch");
-            const auto is_refused = [through]
-            { return through != nullptr && through->turns_away(); };
-            int status = is_refused() ? 503 : answer(*call, body);
-            if (is_refused())
-            {
-                // A watch that was waiting is cut.
-                status = 503;
-                body = "{}";
-            }
-            if (through != nullptr && is_watch && status == 200)
-            {
-                ++through->m_watches;
-                through->m_largest_watch =
-                    std::max<std::size_t>(through->m_largest_watch, body.size());
-            }
+            const int status = answer(*call, body);
             const std::string text = status == 200 ? "OK" : "Refused";
             if (!from.write(encode("HTTP/1.1 " + std::to_string(status) + " " + text,
                                    {{"Content-Type", "application/json"}}, body)))
