--- a/review/support/run_case.sh
+++ b/review/support/run_case.sh
@@ -1,4 +1,5 @@
-# Runs the program of the case in whose folder the calling script lies. Sourced by run.sh.
+# Runs the program of the case in whose folder the calling script lies. Sourced by run.sh, which sets
+# TROUBLE.
 # Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run.
 FOLDER=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 cd "$FOLDER/../.." || exit 2
@@ -13,7 +14,7 @@
 }
 trap end_all EXIT
 trap 'exit 2' TERM INT HUP
-TROUBLE=${TROUBLE:-1} timeout -s KILL 118 "$PROGRAM" "$WORK" "$FOLDER/record.txt" &
+timeout -s KILL 118 "$PROGRAM" "$WORK" "$FOLDER/record.txt" &
 GROUP=$!
 wait "$GROUP"
 CODE=$?
