An entry whose name holds a plus sign ends no first read of the store

Callers saw: after a restart of all hosts almost no request was served while an entry of another writer stood in the list of replicas, under a name with characters such as &, +, #, % or a blank, and the list was longer than a page.

Cause: the next page of a range read begins after the last key of the one before, and this key is sent in the query. It was escaped as a URL allows, where a plus sign stands for itself; the store reads queries as forms, where it stands for a blank. The key "a+b" came back as "a b", which is smaller, so that the same page came again, without end: the host was never ready, and it kept all copies of the page.

Ruled out: the other characters (&, #, % and a blank were escaped before), and the decoding of the entry's value, which is skipped as malformed.

Why this works: a parameter's value now holds no character but letters, digits and -._~ unescaped, which mean the same in a URL and in a form. All queries of the tier are built by this one function.

--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t moving_services = 12;
 constexpr std::size_t once_replicas = 3;
 constexpr std::uint16_t ports_of_host = 6;
+// More than a page of the store, so that one of them is the last on its page.
+constexpr int odd_entries = 60;
 // Requests of each kind whose causes are looked up: enough to see all causes of a run.
 constexpr std::size_t most_explanations = 20;
 
@@ -98,6 +100,7 @@
     if (!error.empty())
         throw std::runtime_error("store: " + error);
     make_replicas();
+    write_odd_entries();
     make_hosts();
 }
 
@@ -123,6 +126,13 @@
     }
 }
 
+// Another writer's entries in the list of replicas. They name no replica to use.
+void soak_world::write_odd_entries()
+{
+    for (int i = 0; i < odd_entries; ++i)
+        m_platform->store().set(platform::replica_prefix + ("a&+#% " + std::to_string(i)), "{}");
+}
+
 void soak_world::make_hosts()
 {
     const endpoint store{.address = "127.0.0.1", .port = m_options.first_port};
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -93,6 +93,7 @@
     };
 
     void make_replicas();
+    void write_odd_entries();
     void make_hosts();
     void write_configuration();
     void schedule_fault();
--- a/tanagerspur/net/http_message.cpp
+++ b/tanagerspur/net/http_message.cpp
@@ -2,8 +2,9 @@
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <boost/url/encode.hpp>
 #include <boost/url/parse.hpp>
-#include <boost/url/url.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 
 #include <charconv>
 
@@ -75,10 +76,8 @@
 
 std::string escape_parameter(const std::string& text)
 {
-    boost::urls::url escaped_url;
-    escaped_url.params().append({"v", text});
-    const auto encoded = escaped_url.encoded_query();
-    return std::string{encoded.data() + 2, encoded.size() - 2};
+    // A URL may hold '+' unescaped, but servers that read a query as a form take it for a blank.
+    return boost::urls::encode(text, boost::urls::unreserved_chars);
 }
 
 } // namespace tanagerspur
--- a/tanagerspur/net/http_message.hpp
+++ b/tanagerspur/net/http_message.hpp
@@ -52,7 +52,8 @@
 // Splits "path?name=value&..." into a call; false when an escape is malformed.
 bool parse_target(const std::string& target, http_call& call);
 
-// Percent-encodes a text for use as a parameter value in a query.
+// Percent-encodes a text for use as a parameter value in a query: all but letters, digits and
+// "-._~". The result reads the same in a URL and in a form.
 std::string escape_parameter(const std::string& text);
 
 // Parses a decimal integer; nullopt if the text contains anything else.
--- a/tanagerspur/testing/gateway_fixture.cpp
+++ b/tanagerspur/testing/gateway_fixture.cpp
@@ -126,26 +126,20 @@
 {
     const host_record record{.id = host_id{id},
                              .zone = zone_id{"a"},
-                             .callers = free_endpoint(),
-                             .peers = free_endpoint(),
+                             .callers = free_endpoint(m_io),
+                             .peers = free_endpoint(m_io),
                              .capacity = gateway_settings{}.capacity,
                              .is_ready = true};
     m_store.set(m_codec.host_key(record.id), m_codec.encode_host(record));
 }
 
-endpoint gateway_fixture::free_endpoint()
-{
-    const tcp::acceptor probe(m_io, tcp::endpoint{asio::ip::address_v4::loopback(), 0});
-    return {.address = "127.0.0.1", .port = probe.local_endpoint().port()};
-}
-
 void gateway_fixture::start(gateway_settings settings)
 {
     settings.id = host_id{"h"};
     settings.zone = zone_id{"a"};
-    m_callers = free_endpoint();
+    m_callers = free_endpoint(m_io);
     settings.callers = m_callers;
-    settings.peers = free_endpoint();
+    settings.peers = free_endpoint(m_io);
     m_gateway =
         std::make_unique<gateway>(m_io, settings, platform::make_header_names(), m_codec, m_store);
     CPPUNIT_ASSERT_EQUAL(std::string{}, m_gateway->start());
--- a/tanagerspur/testing/gateway_fixture.hpp
+++ b/tanagerspur/testing/gateway_fixture.hpp
@@ -94,7 +94,6 @@
         std::unique_ptr<scripted_server> server;
     };
     void start_replica(const std::string& id, scripted_server::script script);
-    endpoint free_endpoint();
 
     boost::asio::io_context m_io;
     platform::codec m_codec;
--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -1,17 +1,84 @@
 // Tests that an entry of another writer among those of the replicas neither ends a host nor keeps
 // it from following the others.
 
+#include "platform/header_names.hpp"
+#include "platform/kv_store.hpp"
+#include "stand_ins/kv_stand_in.hpp"
+#include "tanagerspur/store/store_mirror.hpp"
 #include "tanagerspur/testing/gateway_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 namespace tanagerspur::testing
 {
 
+namespace
+{
+
+// Names with the characters that have a meaning in a URL, a form or JSON, and with bytes outside of
+// ASCII.
+const std::vector<std::string>& odd_names()
+{
+    static const std::vector<std::string> names{"a&b",
+                                                "a+b",
+                                                "a#b",
+                                                "a%b",
+                                                "a%2Bb",
+                                                "a b",
+                                                "a=b",
+                                                "a?b",
+                                                "a/b",
+                                                "a;b",
+                                                "a,b",
+                                                "a:b",
+                                                "a@b",
+                                                "a\"b",
+                                                "a\\b",
+                                                "a\x01"
+                                                "b",
+                                                "+",
+                                                "%",
+                                                " a ",
+                                                "a+",
+                                                "a%",
+                                                "a\xc3\xa9",
+                                                "a\xf0\x9f\x98\x80",
+                                                "servers/a",
+                                                "a\x7f"};
+    return names;
+}
+
+// Keeps the keys of the store as a mirror reports them.
+class key_observer final : public mirror_observer
+{
+public:
+    duration on_first_read(const std::vector<store_change>& /*items*/) override { return {}; }
+    void on_full_read(full_read_cause /*why*/, store_position /*as_of*/) override {}
+    void on_store_restored(store_position /*now*/, store_position /*last_known*/) override {}
+    void on_snapshot(const std::vector<store_change>& items) override
+    {
+        m_has_snapshot = true;
+        for (const store_change& each : items)
+            m_keys.push_back(each.key);
+    }
+    void on_change(const store_change& change) override { m_keys.push_back(change.key); }
+    void on_read() override {}
+    void on_store_lost() override {}
+    void on_store_regained() override {}
+
+    bool m_has_snapshot = false;
+    std::vector<std::string> m_keys;
+};
+
+} // namespace
+
 class odd_entry_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(odd_entry_test);
     CPPUNIT_TEST(odd_entry_does_not_keep_host_from_following_others);
+    CPPUNIT_TEST(any_text_survives_as_parameter_of_query);
+    CPPUNIT_TEST(odd_name_last_on_page_does_not_repeat_page);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,6 +108,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_arrivals["second"].size());
     }
 
+    // A store may read a query as a form, in which a plus sign stands for a blank.
+    void any_text_survives_as_parameter_of_query()
+    {
+        const auto check_text = [](const std::string& text)
+        {
+            const std::string escaped = escape_parameter(text);
+            RC_ASSERT(escaped.find_first_of("+ &#=?") == std::string::npos);
+            http_call read;
+            RC_ASSERT(parse_target("/p?v=" + escaped + "&w=1", read));
+            RC_ASSERT(read.parameters.at("v") == text);
+            RC_ASSERT(read.parameters.at("w") == "1");
+        };
+        const bool holds = rc::check(
+            [&check_text]
+            {
+                check_text(*rc::gen::elementOf(odd_names()));
+                check_text(*rc::gen::arbitrary<std::string>());
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // The next page begins after the last key of the one before. With a key that is read as another
+    // one, the same page would come again and the first read would not end.
+    void odd_name_last_on_page_does_not_repeat_page()
+    {
+        boost::asio::io_context io;
+        const endpoint address = free_endpoint(io);
+        stand_ins::kv_stand_in platform_store(io, address, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, platform_store.start());
+        platform_store.store().page_size = 1;
+        for (const std::string& each : odd_names())
+            platform_store.store().set(platform::replica_prefix + each, "{}");
+        platform::kv_store store(io, {.store = address});
+        key_observer observer;
+        store_mirror mirror(io, store, {}, observer);
+        mirror.start();
+        CPPUNIT_ASSERT(run_until(io, [&observer] { return observer.m_has_snapshot; }));
+        std::vector<std::string> expected;
+        for (const auto& [key, item] : platform_store.store().items())
+            expected.push_back(key);
+        CPPUNIT_ASSERT(observer.m_keys == expected);
+    }
+
 private:
     // An entry that would be usable with another value of the field.
     static std::string entry_with(const std::string& name, const std::string& value)
--- a/tanagerspur/testing/scripted_server.cpp
+++ b/tanagerspur/testing/scripted_server.cpp
@@ -111,6 +111,12 @@
         });
 }
 
+endpoint free_endpoint(asio::io_context& io)
+{
+    const tcp::acceptor probe(io, tcp::endpoint{asio::ip::address_v4::loopback(), 0});
+    return {.address = "127.0.0.1", .port = probe.local_endpoint().port()};
+}
+
 bool run_until(asio::io_context& io, const std::function<bool()>& condition)
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{2};
--- a/tanagerspur/testing/scripted_server.hpp
+++ b/tanagerspur/testing/scripted_server.hpp
@@ -52,6 +52,9 @@
     std::size_t m_closed_by_peer = 0;
 };
 
+// A loopback address that nothing listens on.
+endpoint free_endpoint(boost::asio::io_context& io);
+
 // Runs the context until the condition holds; false after two seconds.
 bool run_until(boost::asio::io_context& io, const std::function<bool()>& condition);
 
