An entry that cannot be read fails no page of the store

What callers would see: while one such entry stands, a host that starts is never ready, and one that runs learns of no change, of replicas or the configuration. Found while looking for other ways in which one entry can fail a page.

Cause: the adapter decoded an answer of the store as a whole. A value that is not base64 text, or no text, made a page or a list of changes unusable; so did a key that is not valid Unicode, as the JSON parser rejects all of the text for bytes that are not UTF-8 and for an escape of an unpaired surrogate.

Why this works: a value that cannot be read is passed on as an empty one.

--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(odd_entry_does_not_keep_host_from_following_others);
     CPPUNIT_TEST(any_text_survives_as_parameter_of_query);
     CPPUNIT_TEST(odd_name_last_on_page_does_not_repeat_page);
+    CPPUNIT_TEST(unreadable_item_does_not_fail_page_or_watch);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,7 +152,60 @@
         CPPUNIT_ASSERT(observer.m_keys == expected);
     }
 
+    // What another writer stored: a value that is not base64 text, or is none, and keys that are
+    // not valid Unicode.
+    void unreadable_item_does_not_fail_page_or_watch()
+    {
+        for (const std::string odd :
+             {R"("key":"servers/o","value":"*")", R"("key":"servers/o")",
+              R"("key":"servers/o","value":null)", R"("key":"servers/o","value":[7])",
+              R"("key":"servers/\ud800","value":"e30=")",
+              R"("key":"servers/\udc00\ud800","value":"e30=")",
+              R"("key":"servers/\\ud800\udfff","value":"e30=")",
+              "\"key\":\"servers/\xff\xfe\",\"value\":\"e30=\""})
+        {
+            const std::string items = R"([{"key":"servers/a","value":"e30=","revision":4},{)" +
+                                      odd + R"(,"revision":5},)" +
+                                      R"({"key":"servers/z","value":"e30=","revision":6}])";
+            const std::string body =
+                R"({"as-of":6,"truncated":false,"items":)" + items + R"(,"events":)" + items + "}";
+            boost::asio::io_context io;
+            scripted_server server(io,
+                                   [&body](const std::string&)
+                                   {
+                                       return scripted_answer{
+                                           "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                           std::to_string(body.size()) + "\r\n\r\n" + body};
+                                   });
+            platform::kv_store store(io, {.store = server.address()});
+            std::optional<range_page> page;
+            std::optional<change_list> list;
+            store.range("", "", false, [&page](range_page read) { page = std::move(read); });
+            store.watch("", {.revision = store_revision{3}}, std::chrono::milliseconds{10},
+                        [&list](change_list read) { list = std::move(read); });
+            CPPUNIT_ASSERT_MESSAGE(odd, run_until(io, [&] { return page && list; }));
+            CPPUNIT_ASSERT_MESSAGE(odd, page->outcome == store_outcome::ok);
+            CPPUNIT_ASSERT_MESSAGE(odd, list->outcome == store_outcome::ok);
+            check_others_are_usable(odd, page->items);
+            check_others_are_usable(odd, list->changes);
+        }
+    }
+
 private:
+    // The second of three is the odd one.
+    static void check_others_are_usable(const std::string& odd,
+                                        const std::vector<store_change>& items)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::size_t{3}, items.size());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string{"servers/a"}, items[0].key);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string{"{}"}, items[0].value.value());
+        // A value, if only an empty one: an item without one would be the removal of its key.
+        CPPUNIT_ASSERT_MESSAGE(odd, items[1].key.starts_with("servers/"));
+        CPPUNIT_ASSERT_MESSAGE(odd, items[1].value.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string{"servers/z"}, items[2].key);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string{"{}"}, items[2].value.value());
+    }
+
     // An entry that would be usable with another value of the field.
     static std::string entry_with(const std::string& name, const std::string& value)
     {
