A key that is not UTF-8 fails no list of changes from another host

What callers would see: hosts that follow a reader of the store take its answer for none and ask the other readers and then the store, until the change with that key has left the reader's history.

Cause: the list is JSON, in which keys stand as they are, and the parser rejects all of the text for bytes that are not UTF-8.

Evidence: key_that_is_not_utf8_does_not_fail_relayed_changes failed before the fix; the list's outcome was unavailable.

Why this works: the parser keeps such bytes, as it does for answers of the store, and such a key names no replica.

--- a/tanagerspur/store/relay_server.cpp
+++ b/tanagerspur/store/relay_server.cpp
@@ -153,7 +153,10 @@
         return {};
     try
     {
-        const boost::json::value body = boost::json::parse(reply.body);
+        // Keys that others wrote need not be valid UTF-8.
+        boost::json::parse_options options;
+        options.allow_invalid_utf8 = true;
+        const boost::json::value body = boost::json::parse(reply.body, {}, options);
         change_list list{.outcome = store_outcome::ok};
         list.as_of = decode_position(body, "as_of");
         list.had_recent_outage = body.at("unsettled").as_bool();
--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/header_names.hpp"
 #include "platform/kv_store.hpp"
 #include "stand_ins/kv_stand_in.hpp"
+#include "tanagerspur/store/relay_server.hpp"
 #include "tanagerspur/store/store_mirror.hpp"
 #include "tanagerspur/testing/gateway_fixture.hpp"
 
@@ -80,6 +81,7 @@
     CPPUNIT_TEST(any_text_survives_as_parameter_of_query);
     CPPUNIT_TEST(odd_name_last_on_page_does_not_repeat_page);
     CPPUNIT_TEST(unreadable_item_does_not_fail_page_or_watch);
+    CPPUNIT_TEST(key_that_is_not_utf8_does_not_fail_relayed_changes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +193,27 @@
         }
     }
 
+    void key_that_is_not_utf8_does_not_fail_relayed_changes()
+    {
+        const store_position begin{store_era{1}, store_revision{1}};
+        change_log log;
+        log.replace_all({}, begin);
+        log.add(
+            {.key = "servers/\xff", .value = "{}", .position = {store_era{1}, store_revision{2}}});
+        log.add({.key = "servers/a", .value = "", .position = {store_era{1}, store_revision{3}}});
+        relay_server relay(log);
+        relay.set_connected(true, boot_now());
+        relay.set_reads_store(true, boot_now());
+        change_list list;
+        relay.handle(make_relay_call(begin, duration{0}), 1,
+                     [&list](const http_reply& reply) { list = decode_relay_answer(reply); });
+        CPPUNIT_ASSERT(list.outcome == store_outcome::ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list.changes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"servers/\xff"}, list.changes[0].key);
+        CPPUNIT_ASSERT_EQUAL(std::string{"servers/a"}, list.changes[1].key);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, list.changes[1].value.value());
+    }
+
 private:
     // The second of three is the odd one.
     static void check_others_are_usable(const std::string& odd,
