A replica's status out of range is no answer

Callers saw: no answer at all when a replica in trouble sent an answer with the status 000, and answers with the statuses 099, 101, 600 and 999, which they cannot understand.

Cause: the parser takes any three digits for a status. 0 is also what the forwarder reports for an exchange that ends without an answer, so that the caller's session was forgotten before the answer was to be written; the others were passed on as they came.

Evidence, before the fix: invalid_status_is_not_passed_on fails with 000, as the caller's connection stays open without an answer for two seconds. invalid_status_at_one_replica_is_repeated_at_another passed before, as statuses other than 2xx are repeated on idempotent routes; it stays as a guard.

Why this works: the attempt fails as soon as the head has been read, like one with bytes that are no answer, and the connection is closed, as what follows on it can't be told. The request may have run: an idempotent one is repeated, any other gets 502.

--- a/tanagerspur/common/http_status.hpp
+++ b/tanagerspur/common/http_status.hpp
@@ -1,4 +1,4 @@
-// Named HTTP status codes.
+// Named HTTP status codes and their classes.
 
 #ifndef TANAGERSPUR_COMMON_HTTP_STATUS_HPP
 #define TANAGERSPUR_COMMON_HTTP_STATUS_HPP
@@ -6,6 +6,7 @@
 namespace tanagerspur
 {
 
+inline constexpr int status_switching_protocols = 101;
 inline constexpr int status_ok = 200;
 inline constexpr int status_not_modified = 304;
 inline constexpr int status_bad_request = 400;
@@ -23,6 +24,18 @@
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_gateway_timeout = 504;
 
+// True for the status of an answer that the final one follows. The status for a change of the
+// protocol is not among them: the tier does not ask for one.
+constexpr bool is_interim_status(int status)
+{
+    return status >= 100 && status < 200 && status != status_switching_protocols;
+}
+
+constexpr bool is_final_status(int status)
+{
+    return status >= 200 && status < 600;
+}
+
 } // namespace tanagerspur
 
 #endif
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -180,6 +180,8 @@
             return;
         if (error)
             return close(attempt_result::failed, error.message());
+        if (m_parser->is_header_done() && !has_valid_status())
+            return close(attempt_result::failed, "status out of range");
         if (m_parser->is_done())
             finish_answer();
         else if (used == 0)
@@ -207,6 +209,13 @@
     close(attempt_result::failed, error.message());
 }
 
+// The parser accepts any three digits.
+bool replica_connection::has_valid_status() const
+{
+    const int status = static_cast<int>(m_parser->get().result_int());
+    return is_interim_status(status) || is_final_status(status);
+}
+
 std::string_view replica_connection::field(const std::string& name) const
 {
     const auto value = m_parser->get()[name];
--- a/tanagerspur/net/replica_connection.hpp
+++ b/tanagerspur/net/replica_connection.hpp
@@ -89,6 +89,7 @@
     void end_request(attempt_outcome outcome, bool keep);
     void on_read_error(boost::system::error_code error);
     void record_idle_limit();
+    bool has_valid_status() const;
     bool is_expected_id() const;
     std::string_view field(const std::string& name) const;
 
--- /dev/null
+++ b/tanagerspur/testing/odd_answer_test.cpp
@@ -0,0 +1,69 @@
+// Answers of replicas, of the store and of other hosts whose status or fields HTTP does not allow:
+// a caller must get neither such an answer nor none at all.
+
+#include "tanagerspur/net/http_connection.hpp"
+#include "tanagerspur/testing/gateway_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace tanagerspur::testing
+{
+
+namespace
+{
+
+// Statuses of three digits that are no status of an answer: those out of range, and the one for a
+// change of the protocol, which was not asked for.
+constexpr std::array invalid_statuses{"000", "001", "099", "101", "600", "999"};
+
+} // namespace
+
+class odd_answer_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(odd_answer_test);
+    CPPUNIT_TEST(invalid_status_is_not_passed_on);
+    CPPUNIT_TEST(invalid_status_at_one_replica_is_repeated_at_another);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void invalid_status_is_not_passed_on()
+    {
+        for (const std::string status : invalid_statuses)
+            for (const std::string path : {"/c/x", "/once/x"})
+            {
+                gateway_fixture fixture;
+                fixture.add_replica("odd", answer_with_status(status));
+                fixture.start();
+                const std::string answer = fixture.request(path);
+                CPPUNIT_ASSERT_MESSAGE(status + " " + path + ": " + answer,
+                                       answer.starts_with("HTTP/1.1 502 "));
+                CPPUNIT_ASSERT_MESSAGE(status + " " + path, !answer.ends_with("ok"));
+            }
+    }
+
+    void invalid_status_at_one_replica_is_repeated_at_another()
+    {
+        for (const std::string status : invalid_statuses)
+        {
+            gateway_fixture fixture;
+            fixture.add_replica("odd", answer_with_status(status));
+            fixture.add_replica("good", [](const std::string&) { return scripted_answer{}; });
+            fixture.start();
+            for (int i = 0; i < 8; ++i)
+                CPPUNIT_ASSERT_MESSAGE(status, fixture.request().starts_with("HTTP/1.1 200 "));
+        }
+    }
+
+private:
+    static scripted_server::script answer_with_status(const std::string& status)
+    {
+        return [status](const std::string&)
+        { return scripted_answer{"HTTP/1.1 " + status + " X\r\n"}; };
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(odd_answer_test);
+
+} // namespace tanagerspur::testing
