Interim answers of a replica are never taken for the final one

What callers would see: an answer with the status 102, 103 or another below 200 if a replica sends one before its answer, with the request's id in it.

Cause: only 100 was known as interim.

Evidence: interim_answer_is_not_taken_for_final_one failed with 102 before.

Why this works: every status from 100 to 199 but 101 is skipped, and the next answer is read. HTTP lets a server send any of them unasked.

--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -250,7 +250,7 @@
 
 void replica_connection::finish_answer()
 {
-    if (m_parser->get().result() == http::status::continue_)
+    if (is_interim_status(static_cast<int>(m_parser->get().result_int())))
         return start_parser();
     if (!is_expected_id())
     {
--- a/tanagerspur/testing/odd_answer_test.cpp
+++ b/tanagerspur/testing/odd_answer_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST_SUITE(odd_answer_test);
     CPPUNIT_TEST(invalid_status_is_not_passed_on);
     CPPUNIT_TEST(invalid_status_at_one_replica_is_repeated_at_another);
+    CPPUNIT_TEST(interim_answer_is_not_taken_for_final_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,28 @@
         }
     }
 
+    // An interim answer may come before the final one, and may have the fields of any answer.
+    void interim_answer_is_not_taken_for_final_one()
+    {
+        for (const std::string status : {"100", "102", "103", "199"})
+        {
+            gateway_fixture fixture;
+            fixture.add_replica("replica",
+                                [status](const std::string& head)
+                                {
+                                    return scripted_answer{
+                                        "HTTP/1.1 " + status +
+                                        " X\r\nX-Request-Id: " + field_of(head, "X-Request-Id") +
+                                        "\r\nX-Response-Seal: interim\r\n\r\nHTTP/1.1 200 OK\r\n"};
+                                });
+            fixture.start();
+            const std::string answer = fixture.request("/once/x");
+            CPPUNIT_ASSERT_MESSAGE(status, answer.starts_with("HTTP/1.1 200 "));
+            CPPUNIT_ASSERT_MESSAGE(status, answer.find("interim") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(status, answer.ends_with("\r\n\r\nok"));
+        }
+    }
+
 private:
     static scripted_server::script answer_with_status(const std::string& status)
     {
