Test: a replica's answer with an invalid field name is not passed on

Already handled: the parser rejects names with a blank or a control byte, and lines without a name or a colon, so that the attempt fails and the connection is closed.

--- a/tanagerspur/testing/odd_answer_test.cpp
+++ b/tanagerspur/testing/odd_answer_test.cpp
@@ -18,6 +18,13 @@
 // change of the protocol, which was not asked for.
 constexpr std::array invalid_statuses{"000", "001", "099", "101", "600", "999"};
 
+// Puts a line of its own into an otherwise good answer.
+scripted_server::script answer_with_line(const std::string& line)
+{
+    return [line](const std::string&)
+    { return scripted_answer{"HTTP/1.1 200 OK\r\n" + line + "\r\n"}; };
+}
+
 } // namespace
 
 class odd_answer_test : public CppUnit::TestFixture
@@ -26,6 +33,7 @@
     CPPUNIT_TEST(invalid_status_is_not_passed_on);
     CPPUNIT_TEST(invalid_status_at_one_replica_is_repeated_at_another);
     CPPUNIT_TEST(interim_answer_is_not_taken_for_final_one);
+    CPPUNIT_TEST(invalid_field_is_not_passed_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,6 +87,29 @@
         }
     }
 
+    // Names with a blank or a control byte, lines without a name or a colon, and values with a
+    // control byte.
+    void invalid_field_is_not_passed_on()
+    {
+        for (const std::string line :
+             {"X Odd: v", "X\tOdd: v", "X-Odd : v", "X-Odd\t: v", " X-Odd: v", "X\x01Odd: v",
+              "X-Odd\x7f: v", "X\rOdd: v", "Content Length: 1", "Transfer-Encoding : chunked",
+              "X-Odd: a\x01"
+              "b",
+              "X-Odd: a\x7f"
+              "b",
+              ": v", "X-Odd"})
+        {
+            gateway_fixture fixture;
+            fixture.add_replica("odd", answer_with_line(line));
+            fixture.start();
+            const std::string answer = fixture.request("/once/x");
+            CPPUNIT_ASSERT_MESSAGE(line + ": " + answer, answer.starts_with("HTTP/1.1 502 "));
+            CPPUNIT_ASSERT_MESSAGE(line, answer.find("Odd") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(line, !answer.ends_with("ok"));
+        }
+    }
+
 private:
     static scripted_server::script answer_with_status(const std::string& status)
     {
