Calls: interim answers are skipped, a status out of range is no answer

What callers would see: a host that takes the answer to one call for that to the next, as soon as the store, another host or a target of a shard sends an interim answer: changes of replicas and of the configuration are not applied.

Cause: a call ended with the first head that was read, whatever its status, and its connection was used again; the final answer was read for the next call.

Evidence: call_is_not_answered_by_interim_answer failed before, with an empty body for the first call; call_with_invalid_status_fails with 000.

Why this works: the answer is read on until the final one, within the call's timeout. Bytes with a status out of range are no answer: the call fails and its connection is closed, as for replicas.

--- a/tanagerspur/net/http_connection.cpp
+++ b/tanagerspur/net/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "tanagerspur/net/http_connection.hpp"
 
+#include "tanagerspur/common/http_status.hpp"
 #include "tanagerspur/common/text.hpp"
 #include "tanagerspur/net/socket_options.hpp"
 
@@ -161,8 +162,14 @@
 void beast_connection::finish_answer()
 {
     auto& message = m_parser->get();
+    const int status = static_cast<int>(message.result_int());
+    if (is_interim_status(status))
+        return read_answer();
+    // The parser accepts any three digits.
+    if (!is_final_status(status))
+        return fail(call_stage::sent, http::error::bad_status);
     call_outcome outcome{.stage = call_stage::answered};
-    outcome.reply.status = static_cast<int>(message.result_int());
+    outcome.reply.status = status;
     for (const auto& field : message)
     {
         outcome.reply.fields[lower_case(field.name_string())] = std::string{field.value()};
--- a/tanagerspur/testing/odd_answer_test.cpp
+++ b/tanagerspur/testing/odd_answer_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(invalid_status_at_one_replica_is_repeated_at_another);
     CPPUNIT_TEST(interim_answer_is_not_taken_for_final_one);
     CPPUNIT_TEST(invalid_field_is_not_passed_on);
+    CPPUNIT_TEST(call_with_invalid_status_fails);
+    CPPUNIT_TEST(call_is_not_answered_by_interim_answer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,7 +112,57 @@
         }
     }
 
+    void call_with_invalid_status_fails()
+    {
+        for (const std::string status : invalid_statuses)
+        {
+            const call_outcomes ended = call_twice(
+                [status](const std::string&) {
+                    return scripted_answer{"HTTP/1.1 " + status +
+                                           " X\r\nContent-Length: 0\r\n\r\n"};
+                });
+            CPPUNIT_ASSERT_MESSAGE(status, ended.first.stage == call_stage::sent);
+            CPPUNIT_ASSERT_MESSAGE(status, ended.second.stage == call_stage::not_sent);
+        }
+    }
+
+    void call_is_not_answered_by_interim_answer()
+    {
+        const call_outcomes ended = call_twice(
+            [](const std::string& head)
+            { return scripted_answer{"HTTP/1.1 102 Processing\r\n\r\n" + answer_to(head)}; });
+        CPPUNIT_ASSERT_EQUAL(std::string{"/1"}, ended.first.reply.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/2"}, ended.second.reply.body);
+    }
+
 private:
+    using call_outcomes = std::pair<call_outcome, call_outcome>;
+
+    // Its body is the path, of two characters.
+    static std::string answer_to(const std::string& head)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + head.substr(4, 2);
+    }
+
+    // Calls /1 and then /2 on the same connection.
+    static call_outcomes call_twice(scripted_server::script script)
+    {
+        boost::asio::io_context io;
+        scripted_server server(io, std::move(script));
+        const auto connection = http_connection::make(io, server.address(), 1'000);
+        std::vector<call_outcome> ended;
+        const auto call = [&](const char* path)
+        {
+            connection->send({.path = path}, std::chrono::milliseconds{500},
+                             [&](call_outcome outcome) { ended.push_back(std::move(outcome)); });
+        };
+        connection->open(std::chrono::milliseconds{500}, [&](bool) { call("/1"); });
+        CPPUNIT_ASSERT(run_until(io, [&] { return ended.size() == 1; }));
+        call("/2");
+        CPPUNIT_ASSERT(run_until(io, [&] { return ended.size() == 2; }));
+        return {ended[0], ended[1]};
+    }
+
     static scripted_server::script answer_with_status(const std::string& status)
     {
         return [status](const std::string&)
