Calls: a connection with bytes after an answer is not used again

What callers would see: as with interim answers, a host that takes the second copy of an answer for that to its next call, if the store, another host or a target of a shard sends one.

Cause: bytes that arrived together with an answer stayed in the connection's buffer, where the next call found them. Only those that arrived later were seen, by a look at the socket before each call.

Evidence: call_is_not_answered_by_bytes_after_earlier_answer failed before: the second call was answered.

Why this works: such a connection is closed, so that the next call opens a new one.

--- a/tanagerspur/net/http_connection.cpp
+++ b/tanagerspur/net/http_connection.cpp
@@ -176,7 +176,8 @@
     }
     outcome.reply.body = std::move(message.body());
     m_stream.expires_never();
-    if (!message.keep_alive())
+    // Bytes after the answer belong to no call.
+    if (!message.keep_alive() || m_buffer.size() > 0)
         close();
     finish(std::move(outcome));
 }
--- a/tanagerspur/testing/odd_answer_test.cpp
+++ b/tanagerspur/testing/odd_answer_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(invalid_field_is_not_passed_on);
     CPPUNIT_TEST(call_with_invalid_status_fails);
     CPPUNIT_TEST(call_is_not_answered_by_interim_answer);
+    CPPUNIT_TEST(call_is_not_answered_by_bytes_after_earlier_answer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,6 +136,15 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"/2"}, ended.second.reply.body);
     }
 
+    void call_is_not_answered_by_bytes_after_earlier_answer()
+    {
+        const call_outcomes ended =
+            call_twice([](const std::string& head)
+                       { return scripted_answer{answer_to(head) + answer_to(head)}; });
+        CPPUNIT_ASSERT_EQUAL(std::string{"/1"}, ended.first.reply.body);
+        CPPUNIT_ASSERT(ended.second.stage == call_stage::not_sent);
+    }
+
 private:
     using call_outcomes = std::pair<call_outcome, call_outcome>;
 
