A full read whose pages repeat begins anew after a delay

A host that got the same page again asked for the next one at once, and kept all copies.

Cause: only the store ended a full read. Nothing checked that its pages go on.

Why this works: each page that others follow must end with a key that no page of the same read ended with; an empty one does not. Otherwise the read is given up like one that failed: it is tried again with the usual backoff, and operators get the key in a log line (page_repeated) and a count. The order of keys is left to the store.

--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -80,6 +80,7 @@
 private:
     duration on_first_read(const std::vector<store_change>& items) override;
     void on_full_read(full_read_cause why, store_position as_of) override;
+    void on_page_repeated(const std::string& last_key) override;
     void on_store_restored(store_position now, store_position last_known) override;
     void on_snapshot(const std::vector<store_change>& items) override;
     void on_change(const store_change& change) override;
@@ -196,6 +197,7 @@
     std::size_t m_sharing_hosts = 0;
     bool m_has_first_read = false;
     std::uint64_t m_full_reads = 0;
+    std::uint64_t m_repeated_pages = 0;
     std::uint64_t m_store_restores = 0;
     bool m_has_snapshot = false;
     // True once this host publishes an entry in the store.
--- a/tanagerspur/gateway/gateway_report.cpp
+++ b/tanagerspur/gateway/gateway_report.cpp
@@ -120,6 +120,7 @@
     text.add("store_calls_total", {{"kind", "renewal"}}, calls.renewals);
     text.add("store_calls_failed_total", calls.failures);
     text.add("store_full_reads_total", m_full_reads);
+    text.add("store_pages_repeated_total", m_repeated_pages);
     text.add("requests_quarantined", m_quarantine.size(boot_now()));
     text.add("quarantined_requests_refused_total", m_quarantined_requests);
     text.add("repeats_postponed_total", m_forwarder.counters().postponed_repeats);
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -58,6 +58,12 @@
                         boot_now());
 }
 
+void gateway::on_page_repeated(const std::string& last_key)
+{
+    ++m_repeated_pages;
+    m_log.write_limited("page_repeated", {{"last_key", last_key}}, boot_now());
+}
+
 // What the operator and the replicas wrote since the copy is written again; entries that are
 // missing until then are kept like those that lapsed in an outage.
 void gateway::on_store_restored(store_position now, store_position last_known)
--- a/tanagerspur/store/store_mirror.cpp
+++ b/tanagerspur/store/store_mirror.cpp
@@ -43,6 +43,7 @@
 void store_mirror::read_all(bool may_be_stale)
 {
     m_pending_items.clear();
+    m_page_ends.clear();
     m_is_first_page = true;
     m_may_be_stale = may_be_stale;
     read_page("");
@@ -73,11 +74,17 @@
         mark_disconnected();
         return retry([this] { read_all(m_may_be_stale); });
     }
+    if (is_page_repeated(page))
+    {
+        m_observer.on_page_repeated(page.items.empty() ? "" : page.items.back().key);
+        mark_disconnected();
+        return retry([this] { read_all(m_may_be_stale); });
+    }
     m_pending_as_of =
         std::exchange(m_is_first_page, false) ? page.as_of : std::min(m_pending_as_of, page.as_of);
     for (store_change& each : page.items)
         m_pending_items.push_back(std::move(each));
-    if (page.is_truncated && !m_pending_items.empty())
+    if (page.is_truncated)
         return read_page(m_pending_items.back().key);
     if (m_may_be_stale)
         return on_first_read_done();
@@ -87,6 +94,14 @@
     watch(m_options.watch_wait);
 }
 
+// The next page begins after the last key of the one before. If the store takes that key for
+// another one, the same pages come again, and the read would not end.
+bool store_mirror::is_page_repeated(const range_page& page)
+{
+    return page.is_truncated &&
+           (page.items.empty() || !m_page_ends.insert(page.items.back().key).second);
+}
+
 void store_mirror::on_first_read_done()
 {
     const duration wait = m_observer.on_first_read(m_pending_items);
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -18,6 +18,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <random>
+#include <set>
+#include <string>
 #include <string_view>
 
 namespace tanagerspur
@@ -54,6 +56,9 @@
     virtual duration on_first_read(const std::vector<store_change>& items) = 0;
     // Called when all keys have been read, as of the position of the first page.
     virtual void on_full_read(full_read_cause why, store_position as_of) = 0;
+    // Called when a full read is given up and begun again, because a page ended with a key with
+    // which an earlier page ended.
+    virtual void on_page_repeated(const std::string& last_key) = 0;
     // Called when the store has been restored from a copy, before the changes that this makes.
     virtual void on_store_restored(store_position now, store_position last_known) = 0;
     // Called with all current keys; keys that are absent have been removed.
@@ -89,6 +94,7 @@
     void on_first_read_done();
     void catch_up();
     void on_page(range_page page);
+    bool is_page_repeated(const range_page& page);
     void watch(duration wait);
     void on_changes(const change_list& list);
     void mark_disconnected();
@@ -104,6 +110,8 @@
     boost::asio::steady_timer m_timer;
     std::mt19937_64 m_random;
     std::vector<store_change> m_pending_items;
+    // Last keys of the pages of a full read.
+    std::set<std::string> m_page_ends;
     bool m_is_first_page = true;
     bool m_may_be_stale = true;
     bool m_has_repeated_first_read = false;
--- a/tanagerspur/testing/mirror_test.cpp
+++ b/tanagerspur/testing/mirror_test.cpp
@@ -40,6 +40,7 @@
     {
         ++m_full_reads;
     }
+    void on_page_repeated(const std::string& /*last_key*/) override {}
     void on_store_restored(store_position now, store_position /*last_known*/) override
     {
         m_era = now.era;
--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -56,6 +56,10 @@
 public:
     duration on_first_read(const std::vector<store_change>& /*items*/) override { return {}; }
     void on_full_read(full_read_cause /*why*/, store_position /*as_of*/) override {}
+    void on_page_repeated(const std::string& last_key) override
+    {
+        m_repeated_pages.push_back(last_key);
+    }
     void on_store_restored(store_position /*now*/, store_position /*last_known*/) override {}
     void on_snapshot(const std::vector<store_change>& items) override
     {
@@ -70,6 +74,8 @@
 
     bool m_has_snapshot = false;
     std::vector<std::string> m_keys;
+    // Last keys of pages that came twice.
+    std::vector<std::string> m_repeated_pages;
 };
 
 } // namespace
@@ -81,6 +87,7 @@
     CPPUNIT_TEST(any_text_survives_as_parameter_of_query);
     CPPUNIT_TEST(odd_name_last_on_page_does_not_repeat_page);
     CPPUNIT_TEST(unreadable_item_does_not_fail_page_or_watch);
+    CPPUNIT_TEST(repeated_page_is_not_read_without_end);
     CPPUNIT_TEST(key_that_is_not_utf8_does_not_fail_relayed_changes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,13 +179,7 @@
             const std::string body =
                 R"({"as-of":6,"truncated":false,"items":)" + items + R"(,"events":)" + items + "}";
             boost::asio::io_context io;
-            scripted_server server(io,
-                                   [&body](const std::string&)
-                                   {
-                                       return scripted_answer{
-                                           "HTTP/1.1 200 OK\r\nContent-Length: " +
-                                           std::to_string(body.size()) + "\r\n\r\n" + body};
-                                   });
+            scripted_server server(io, [&body](const std::string&) { return ok_answer(body); });
             platform::kv_store store(io, {.store = server.address()});
             std::optional<range_page> page;
             std::optional<change_list> list;
@@ -193,6 +194,36 @@
         }
     }
 
+    // A store that takes the last key of a page for another one gives the same pages again. The
+    // delays between the reads are at least 30, 60, 120 and 240 ms, and each reads three pages.
+    void repeated_page_is_not_read_without_end()
+    {
+        boost::asio::io_context io;
+        int requests = 0;
+        bool is_last_page = false;
+        scripted_server server(io,
+                               [&](const std::string&)
+                               {
+                                   const std::string key =
+                                       ++requests % 2 == 0 ? "servers/a" : "servers/b";
+                                   return ok_answer(R"({"as-of":6,"truncated":)" +
+                                                    std::string{is_last_page ? "false" : "true"} +
+                                                    R"(,"events":[],"items":[{"key":")" + key +
+                                                    R"(","value":"e30=","revision":4}]})");
+                               });
+        platform::kv_store store(io, {.store = server.address()});
+        key_observer observer;
+        store_mirror mirror(io, store, {}, observer);
+        mirror.start();
+        io.run_for(std::chrono::milliseconds{400});
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(requests), requests <= 4 * 3);
+        CPPUNIT_ASSERT(!observer.m_repeated_pages.empty());
+        CPPUNIT_ASSERT(observer.m_repeated_pages[0].starts_with("servers/"));
+        CPPUNIT_ASSERT(!observer.m_has_snapshot);
+        is_last_page = true;
+        CPPUNIT_ASSERT(run_until(io, [&observer] { return observer.m_has_snapshot; }));
+    }
+
     void key_that_is_not_utf8_does_not_fail_relayed_changes()
     {
         const store_position begin{store_era{1}, store_revision{1}};
@@ -215,6 +246,12 @@
     }
 
 private:
+    static scripted_answer ok_answer(const std::string& body)
+    {
+        return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                body};
+    }
+
     // The second of three is the odd one.
     static void check_others_are_usable(const std::string& odd,
                                         const std::vector<store_change>& items)
