A replica's signature that reads as several makes no part of an answer

What callers would see: a whole answer to a query over many shards that is wrong, because one replica in trouble sent a signature with a comma or a quote in it.

Cause: the signatures of the parts are joined with commas into one field. A text of a replica became part of that list unchecked.

Evidence: signature_that_reads_as_several_fails_attempt failed before with "s,t".

Why this works: a success with such a signature is unusable like one without a signature: the attempt fails, and another replica of the shard is asked, or the shard is left out. A signature is one element of such a list by the protocol.

--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -70,6 +70,13 @@
                                                          std::chrono::duration<double>{max_pause}));
 }
 
+// The signatures of several answers are joined in a list, in which these characters separate and
+// quote.
+bool is_signature(std::string_view text)
+{
+    return !text.empty() && text.find_first_of(",\"") == std::string_view::npos;
+}
+
 } // namespace
 
 replica_connection::replica_connection(asio::io_context& io, const wire_header_names& header_names,
@@ -278,14 +285,14 @@
     const bool keep = message.keep_alive() && !m_must_close && m_is_request_written;
     m_has_answered = true;
     record_idle_limit();
-    const bool is_unsigned_success =
+    const bool is_unusable_success =
         outcome.result == attempt_result::answered && outcome.answer.is_success() &&
-        (outcome.answer.signature.empty() || !field("Content-Encoding").empty());
+        (!is_signature(outcome.answer.signature) || !field("Content-Encoding").empty());
     outcome.answer.body = std::move(message.body());
-    if (is_unsigned_success)
+    if (is_unusable_success)
     {
         outcome.result = attempt_result::failed;
-        outcome.detail = "success without a signature or with a Content-Encoding";
+        outcome.detail = "success without a valid signature or with a Content-Encoding";
     }
     end_request(std::move(outcome), keep);
 }
--- a/tanagerspur/testing/replica_pool_test.cpp
+++ b/tanagerspur/testing/replica_pool_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(answer_that_ends_in_its_head_fails_attempt);
     CPPUNIT_TEST(answer_without_length_requires_orderly_close);
     CPPUNIT_TEST(success_without_signature_fails_attempt);
+    CPPUNIT_TEST(signature_that_reads_as_several_fails_attempt);
     CPPUNIT_TEST(reports_refusal_with_load);
     CPPUNIT_TEST(misdirected_request_counts_as_refused);
     CPPUNIT_TEST(invalid_http_fails_attempt);
@@ -215,6 +216,24 @@
         CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
     }
 
+    // The signatures of the parts of a scatter are joined with commas. One such part would make the
+    // whole answer wrong.
+    void signature_that_reads_as_several_fails_attempt()
+    {
+        for (const std::string signature : {"s,t", "s, t", ",", "s,", "\"s"})
+        {
+            tearDown();
+            setUp();
+            serve(
+                [&signature](const std::string&)
+                {
+                    return scripted_answer{"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: " +
+                                           signature + "\r\nContent-Length: 1\r\n\r\nx"};
+                });
+            CPPUNIT_ASSERT_MESSAGE(signature, run(1).result == attempt_result::failed);
+        }
+    }
+
     void reports_refusal_with_load()
     {
         serve(
