An idle timeout of any length leaves a replica's connections in use

What callers would see: nothing but somewhat later answers: each request to a replica that names a very long idle timeout opens a new connection.

Cause: the seconds of the Keep-Alive field were converted to microseconds without a bound; overflows and is read as a negative limit, so that the connection was closed at once when idle.

Evidence: long_idle_timeout_of_replica_does_not_close_idle_connection failed before: two connections for two requests.

Why this works: the seconds are compared with an hour before they are converted.

--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -31,6 +31,8 @@
 // chunks of a body.
 constexpr std::size_t max_line_bytes = std::size_t{64} * 1024;
 
+// Longest idle timeout that is taken from a replica; connections are closed sooner anyway.
+constexpr std::chrono::seconds max_idle_limit = std::chrono::hours{1};
 // Longest accepted Retry-After of a replica.
 constexpr duration max_pause = std::chrono::hours{1};
 
@@ -249,10 +251,10 @@
     if (at == std::string_view::npos)
         return;
     const std::string_view digits = text.substr(at + key.size());
-    long long seconds = 0;
+    std::chrono::seconds::rep seconds = 0;
     std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
     if (seconds > 0)
-        m_idle_limit = std::chrono::seconds{seconds};
+        m_idle_limit = std::min(max_idle_limit, std::chrono::seconds{seconds});
 }
 
 void replica_connection::finish_answer()
--- a/tanagerspur/testing/replica_pool_test.cpp
+++ b/tanagerspur/testing/replica_pool_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(invalid_http_fails_attempt);
     CPPUNIT_TEST(refused_connect_counts_as_not_sent);
     CPPUNIT_TEST(does_not_reuse_connection_closed_as_idle);
+    CPPUNIT_TEST(long_idle_timeout_of_replica_does_not_close_idle_connection);
     CPPUNIT_TEST(aborts_attempt_at_deadline);
     CPPUNIT_TEST(non_idempotent_request_avoids_old_idle_connection);
     CPPUNIT_TEST(closes_idle_connections_of_removed_replica);
@@ -285,6 +286,27 @@
         CPPUNIT_ASSERT(run_until(*m_io, [this] { return m_pool->open_connections() == 1; }));
     }
 
+    // A number of seconds that is too large for a duration would be read as a negative one.
+    void long_idle_timeout_of_replica_does_not_close_idle_connection()
+    {
+        for (const std::string seconds :
+             {"9223372036854775807", "10000000000000", "99999999999999999999"})
+        {
+            tearDown();
+            setUp();
+            serve(
+                [&seconds](const std::string& head)
+                {
+                    return scripted_answer{reply(field_of(head, "Request-Id"), "x",
+                                                 "Keep-Alive: timeout=" + seconds + "\r\n")};
+                });
+            run(1);
+            m_pool->tick(boot_now() + std::chrono::seconds{1});
+            run(2);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(seconds, std::size_t{1}, m_server->connections());
+        }
+    }
+
     void aborts_attempt_at_deadline()
     {
         serve([](const std::string&) { return scripted_answer{}; });
