One parser for JSON with texts of several writers

Cause: the store's answers and those of other hosts were to be read alike, and each had options of the parser of its own.

Change: parse_lenient_json serves both. What is accepted from the store stays; a relay's answer may now also hold an escape of an unpaired surrogate.

--- a/tanagerspur/store/relay_server.cpp
+++ b/tanagerspur/store/relay_server.cpp
@@ -2,8 +2,8 @@
 
 #include "tanagerspur/common/base64.hpp"
 #include "tanagerspur/common/http_status.hpp"
+#include "tanagerspur/common/lenient_json.hpp"
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
@@ -153,10 +153,10 @@
         return {};
     try
     {
-        // Keys that others wrote need not be valid UTF-8.
-        boost::json::parse_options options;
-        options.allow_invalid_utf8 = true;
-        const boost::json::value body = boost::json::parse(reply.body, {}, options);
+        boost::json::error_code error;
+        const boost::json::value body = parse_lenient_json(reply.body, error);
+        if (error)
+            return {};
         change_list list{.outcome = store_outcome::ok};
         list.as_of = decode_position(body, "as_of");
         list.had_recent_outage = body.at("unsettled").as_bool();
