An odd line of the host list fails no other line, and its port is not cut

What callers would see: on tanagerspurd, no change of hosts or targets is learnt while one line holds a text that is not valid Unicode; and a target with a port out of range is called at another port.

Cause: the list was parsed as a whole; a port was converted without a check.

Evidence: odd_line_does_not_fail_host_list failed before the fix with its first line, on the availability of the list.

Why this works: the list is read by the lenient parser, and a line whose port is no integer from 0 to 65535 is left out like one without an address.

--- a/tanagerspur/store/http_store.cpp
+++ b/tanagerspur/store/http_store.cpp
@@ -1,8 +1,9 @@
 #include "tanagerspur/store/http_store.hpp"
 
 #include "tanagerspur/common/http_status.hpp"
+#include "tanagerspur/common/lenient_json.hpp"
 
-#include <boost/json/parse.hpp>
+#include <limits>
 
 namespace tanagerspur
 {
@@ -68,8 +69,13 @@
     host.zone = zone_id{text("zone")};
     host.address = text("address");
     host.is_target = text("role") == "target";
-    if (port != nullptr && port->is_int64())
-        host.port = static_cast<std::uint16_t>(port->as_int64());
+    if (port != nullptr)
+    {
+        const std::int64_t number = port->is_int64() ? port->as_int64() : -1;
+        if (number < 0 || number > std::numeric_limits<std::uint16_t>::max())
+            return false;
+        host.port = static_cast<std::uint16_t>(number);
+    }
     host.current =
         text("state") == "leaving" ? listed_host::state::leaving : listed_host::state::live;
     return !host.id.value().empty() && is_ip_number(host.address);
@@ -157,7 +163,7 @@
 host_list parse_host_list(const std::string& text)
 {
     boost::json::error_code error;
-    const boost::json::value parsed = boost::json::parse(text, error);
+    const boost::json::value parsed = parse_lenient_json(text, error);
     const auto* object = error ? nullptr : parsed.if_object();
     const auto* lines = object != nullptr ? object->if_contains("hosts") : nullptr;
     if (lines == nullptr || !lines->is_array())
--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/header_names.hpp"
 #include "platform/kv_store.hpp"
 #include "stand_ins/kv_stand_in.hpp"
+#include "tanagerspur/store/http_store.hpp"
 #include "tanagerspur/store/relay_server.hpp"
 #include "tanagerspur/store/store_mirror.hpp"
 #include "tanagerspur/testing/gateway_fixture.hpp"
@@ -89,6 +90,7 @@
     CPPUNIT_TEST(unreadable_item_does_not_fail_page_or_watch);
     CPPUNIT_TEST(repeated_page_is_not_read_without_end);
     CPPUNIT_TEST(key_that_is_not_utf8_does_not_fail_relayed_changes);
+    CPPUNIT_TEST(odd_line_does_not_fail_host_list);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -245,6 +247,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, list.changes[1].value.value());
     }
 
+    // A port that is out of range would name another one after its conversion.
+    void odd_line_does_not_fail_host_list()
+    {
+        const auto line = [](const std::string& id, const std::string& port) {
+            return R"({"id":")" + id + R"(","address":"10.0.0.1","role":"target","port":)" + port +
+                   "}";
+        };
+        for (const std::string odd :
+             {line("\xff", "80"), line("\\ud800", "80"), line("odd", "65616"), line("odd", "-1"),
+              line("odd", "\"80\""), line("odd", "1e2"), line("", "80"), std::string{"7"}})
+        {
+            const host_list list = parse_host_list(R"({"hosts":[)" + line("first", "80") + "," +
+                                                   odd + "," + line("last", "80") + "]}");
+            CPPUNIT_ASSERT_MESSAGE(odd, list.available);
+            CPPUNIT_ASSERT_MESSAGE(odd, list.hosts.size() >= 2);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string{"first"}, list.hosts.front().id.value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string{"last"}, list.hosts.back().id.value());
+            for (const listed_host& each : list.hosts)
+                CPPUNIT_ASSERT_MESSAGE(odd, each.id.value() != "odd");
+        }
+    }
+
 private:
     static scripted_answer ok_answer(const std::string& body)
     {
