--- a/stand_ins/replica_stand_in.cpp
+++ b/stand_ins/replica_stand_in.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <array>
 #include <chrono>
 #include <iostream>
 
@@ -21,6 +22,8 @@
 constexpr std::size_t queue = 12;
 // Seconds for which it wants no requests from a host that it refused one.
 constexpr const char* refusal_pause = "0.2";
+// Those of failed requests: HTTP has no status that is not from 100 to 599.
+constexpr std::array error_statuses{500, 0, 99, 600, 999};
 constexpr std::size_t records = 4;
 constexpr std::size_t record_bytes = 16;
 // After a replica's leaving was acknowledged, hosts that reach the store send it nothing more.
@@ -149,12 +152,13 @@
                            const http_responder& respond)
 {
     const std::string request = call.field(lower_case(header_names().request_id));
-    run_record record{.replica = m_id,
-                      .service = m_service,
-                      .signature = m_id + "." + std::to_string(++m_runs) + "." + request,
-                      .body = records_of(m_service, request),
-                      .status = chance() < m_faults.errors ? 500 : 200,
-                      .begun = boot_now()};
+    run_record record{
+        .replica = m_id,
+        .service = m_service,
+        .signature = m_id + "." + std::to_string(++m_runs) + "." + request,
+        .body = records_of(m_service, request),
+        .status = chance() < m_faults.errors ? error_statuses[m_runs % error_statuses.size()] : 200,
+        .begun = boot_now()};
     if (m_leaving_since != never && record.begun - m_leaving_since > drain_bound && m_log.is_calm())
         m_log.late_runs.push_back(m_id + " ran " + request);
     m_log.runs[request].push_back(record);
