A removed item of a page of the store is left out

What callers would see: a host that ends by itself while it starts, if a page of the store holds an item that is marked as removed. The store's protocol gives such marks in watches only; no store was seen to do otherwise.

Cause: items of pages and events of watches are decoded alike, and readers of a page take the value of each item without looking whether there is one.

--- a/tanagerspur/store/shared_store.hpp
+++ b/tanagerspur/store/shared_store.hpp
@@ -52,6 +52,7 @@
 struct range_page
 {
     store_outcome outcome = store_outcome::unavailable;
+    // Each has a value.
     std::vector<store_change> items;
     // True if more keys follow the last one of this page.
     bool is_truncated = false;
--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(any_text_survives_as_parameter_of_query);
     CPPUNIT_TEST(odd_name_last_on_page_does_not_repeat_page);
     CPPUNIT_TEST(unreadable_item_does_not_fail_page_or_watch);
+    CPPUNIT_TEST(removed_item_of_page_is_left_out);
     CPPUNIT_TEST(repeated_page_is_not_read_without_end);
     CPPUNIT_TEST(key_that_is_not_utf8_does_not_fail_relayed_changes);
     CPPUNIT_TEST(odd_line_does_not_fail_host_list);
@@ -196,6 +197,27 @@
         }
     }
 
+    // Pages hold items that exist; readers of a page rely on their values.
+    void removed_item_of_page_is_left_out()
+    {
+        boost::asio::io_context io;
+        scripted_server server(
+            io,
+            [](const std::string&)
+            {
+                return ok_answer(
+                    R"({"as-of":6,"truncated":false,"items":[{"key":"servers/a","value":"e30=",)"
+                    R"("revision":4},{"key":"servers/o","tombstone":true,"revision":5}]})");
+            });
+        platform::kv_store store(io, {.store = server.address()});
+        std::optional<range_page> page;
+        store.range("", "", false, [&page](range_page read) { page = std::move(read); });
+        CPPUNIT_ASSERT(run_until(io, [&page] { return page.has_value(); }));
+        CPPUNIT_ASSERT(page->outcome == store_outcome::ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page->items.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"servers/a"}, page->items[0].key);
+    }
+
     // A store that takes the last key of a page for another one gives the same pages again. The
     // delays between the reads are at least 30, 60, 120 and 240 ms, and each reads three pages.
     void repeated_page_is_not_read_without_end()
