Tests of odd entries and answers: lint

Cause: clang-tidy rejects eight lines of the two new test files: texts joined with + in loops, literals split behind a hexadecimal escape, a copied loop variable.

Change: append(), octal escapes and a reference. No check is changed.

--- a/tanagerspur/testing/odd_answer_test.cpp
+++ b/tanagerspur/testing/odd_answer_test.cpp
@@ -49,9 +49,10 @@
                 fixture.add_replica("odd", answer_with_status(status));
                 fixture.start();
                 const std::string answer = fixture.request(path);
-                CPPUNIT_ASSERT_MESSAGE(status + " " + path + ": " + answer,
-                                       answer.starts_with("HTTP/1.1 502 "));
-                CPPUNIT_ASSERT_MESSAGE(status + " " + path, !answer.ends_with("ok"));
+                std::string what = status;
+                what.append(" for ").append(path).append(": ").append(answer);
+                CPPUNIT_ASSERT_MESSAGE(what, answer.starts_with("HTTP/1.1 502 "));
+                CPPUNIT_ASSERT_MESSAGE(what, !answer.ends_with("ok"));
             }
     }
 
@@ -95,21 +96,19 @@
     void invalid_field_is_not_passed_on()
     {
         for (const std::string line :
-             {"X Odd: v", "X\tOdd: v", "X-Odd : v", "X-Odd\t: v", " X-Odd: v", "X\x01Odd: v",
-              "X-Odd\x7f: v", "X\rOdd: v", "Content Length: 1", "Transfer-Encoding : chunked",
-              "X-Odd: a\x01"
-              "b",
-              "X-Odd: a\x7f"
-              "b",
-              ": v", "X-Odd"})
+             {"X Odd: v", "X\tOdd: v", "X-Odd : v", "X-Odd\t: v", " X-Odd: v", "X\001Odd: v",
+              "X-Odd\177: v", "X\rOdd: v", "Content Length: 1", "Transfer-Encoding : chunked",
+              "X-Odd: a\001b", "X-Odd: a\177b", ": v", "X-Odd"})
         {
             gateway_fixture fixture;
             fixture.add_replica("odd", answer_with_line(line));
             fixture.start();
             const std::string answer = fixture.request("/once/x");
-            CPPUNIT_ASSERT_MESSAGE(line + ": " + answer, answer.starts_with("HTTP/1.1 502 "));
-            CPPUNIT_ASSERT_MESSAGE(line, answer.find("Odd") == std::string::npos);
-            CPPUNIT_ASSERT_MESSAGE(line, !answer.ends_with("ok"));
+            std::string what = line;
+            what.append(": ").append(answer);
+            CPPUNIT_ASSERT_MESSAGE(what, answer.starts_with("HTTP/1.1 502 "));
+            CPPUNIT_ASSERT_MESSAGE(what, answer.find("Odd") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(what, !answer.ends_with("ok"));
         }
     }
 
--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -37,8 +37,7 @@
                                                 "a@b",
                                                 "a\"b",
                                                 "a\\b",
-                                                "a\x01"
-                                                "b",
+                                                "a\001b",
                                                 "+",
                                                 "%",
                                                 " a ",
@@ -176,11 +175,11 @@
               R"("key":"servers/\\ud800\udfff","value":"e30=")",
               "\"key\":\"servers/\xff\xfe\",\"value\":\"e30=\""})
         {
-            const std::string items = R"([{"key":"servers/a","value":"e30=","revision":4},{)" +
-                                      odd + R"(,"revision":5},)" +
-                                      R"({"key":"servers/z","value":"e30=","revision":6}])";
-            const std::string body =
-                R"({"as-of":6,"truncated":false,"items":)" + items + R"(,"events":)" + items + "}";
+            std::string items = R"([{"key":"servers/a","value":"e30=","revision":4},{)";
+            items.append(odd).append(R"(,"revision":5},)");
+            items.append(R"({"key":"servers/z","value":"e30=","revision":6}])");
+            std::string body = R"({"as-of":6,"truncated":false,"items":)";
+            body.append(items).append(R"(,"events":)").append(items).append("}");
             boost::asio::io_context io;
             scripted_server server(io, [&body](const std::string&) { return ok_answer(body); });
             platform::kv_store store(io, {.store = server.address()});
@@ -276,7 +275,7 @@
             return R"({"id":")" + id + R"(","address":"10.0.0.1","role":"target","port":)" + port +
                    "}";
         };
-        for (const std::string odd :
+        for (const std::string& odd :
              {line("\xff", "80"), line("\\ud800", "80"), line("odd", "65616"), line("odd", "-1"),
               line("odd", "\"80\""), line("odd", "1e2"), line("", "80"), std::string{"7"}})
         {
