--- a/tanagerspur/gateway/gateway.hpp
+++ b/tanagerspur/gateway/gateway.hpp
@@ -115,7 +115,18 @@
     void on_caller_disconnected(session_id session) override;
     void on_rejected(int status, std::string_view why) override;
 
+    // What a snapshot holds besides what is applied item by item.
+    struct snapshot_contents
+    {
+        std::vector<replica_record> replicas;
+        std::vector<host_id> hosts;
+        bool has_own_entry = false;
+    };
+
+    // Runs the operation; an exception ends only it, and is reported under the name.
+    template<class Operation> void run_guarded(std::string_view name, Operation&& operation);
     void apply_snapshot(const std::vector<store_change>& items);
+    void apply_item(const store_change& item, snapshot_contents& contents);
     void apply_change(const store_change& change);
     void apply_configuration(const std::string& value);
     void apply_replica(const replica_id& id, const std::string& value);
--- a/tanagerspur/gateway/gateway_store.cpp
+++ b/tanagerspur/gateway/gateway_store.cpp
@@ -24,6 +24,20 @@
 
 } // namespace
 
+// Exceptions are caught here because the mirror would otherwise stop, and this host would receive
+// no further changes.
+template<class Operation> void gateway::run_guarded(std::string_view name, Operation&& operation)
+{
+    try
+    {
+        operation();
+    }
+    catch (const std::exception& error)
+    {
+        report_error(name, error);
+    }
+}
+
 // A host that starts while others are registered reads the store itself: after a loss of many hosts
 // the registered readers may have failed too, and waiting for them to time out would delay its
 // first answer. When all hosts start for the first time, that would cost one store call per host,
@@ -36,7 +50,7 @@
     {
         const store_key key = m_codec.decode_key(each.key);
         if (const auto* host = std::get_if<host_id>(&key))
-            apply_host(*host, *each.value);
+            run_guarded(each.key, [&] { apply_host(*host, *each.value); });
         has_configuration = has_configuration || std::holds_alternative<configuration_key>(key);
     }
     if (is_second_read)
@@ -78,30 +92,14 @@
         tell_hosts(each);
 }
 
-// Exceptions are caught here because the mirror would otherwise stop, and this host would receive
-// no further changes.
 void gateway::on_snapshot(const std::vector<store_change>& items)
 {
-    try
-    {
-        apply_snapshot(items);
-    }
-    catch (const std::exception& error)
-    {
-        report_error("snapshot", error);
-    }
+    run_guarded("snapshot", [&] { apply_snapshot(items); });
 }
 
 void gateway::on_change(const store_change& change)
 {
-    try
-    {
-        apply_change(change);
-    }
-    catch (const std::exception& error)
-    {
-        report_error(change.key, error);
-    }
+    run_guarded(change.key, [&] { apply_change(change); });
 }
 
 void gateway::report_error(std::string_view what, const std::exception& error)
@@ -111,42 +109,42 @@
                         boot_now());
 }
 
-void gateway::apply_snapshot(const std::vector<store_change>& items)
+void gateway::apply_item(const store_change& item, snapshot_contents& contents)
 {
-    const time_point now = boot_now();
-    std::vector<replica_record> replicas;
-    std::vector<host_id> hosts;
-    bool has_own_entry = false;
-    for (const store_change& each : items)
+    const store_key key = m_codec.decode_key(item.key);
+    if (const auto* id = std::get_if<replica_id>(&key))
     {
-        const store_key key = m_codec.decode_key(each.key);
-        if (const auto* id = std::get_if<replica_id>(&key))
-        {
-            const replica_value value = m_codec.decode_replica(*id, *each.value);
-            if (const auto* record = std::get_if<replica_record>(&value))
-                replicas.push_back(*record);
-            else
-                apply_replica(*id, *each.value);
-        }
-        else if (const auto* host = std::get_if<host_id>(&key))
-        {
-            hosts.push_back(*host);
-            has_own_entry = has_own_entry || *host == m_settings.id;
-            apply_host(*host, *each.value);
-        }
-        else if (const auto* request = std::get_if<request_fingerprint>(&key))
-            apply_quarantine(*request, *each.value);
-        else if (std::holds_alternative<configuration_key>(key))
-            apply_configuration(*each.value);
+        const replica_value value = m_codec.decode_replica(*id, *item.value);
+        if (const auto* record = std::get_if<replica_record>(&value))
+            contents.replicas.push_back(*record);
+        else
+            apply_replica(*id, *item.value);
     }
-    m_registry.replace_all(replicas, now);
-    m_directory.remove_unlisted(hosts, host_entry_expiry());
-    if (!has_own_entry)
+    else if (const auto* host = std::get_if<host_id>(&key))
+    {
+        contents.hosts.push_back(*host);
+        contents.has_own_entry = contents.has_own_entry || *host == m_settings.id;
+        apply_host(*host, *item.value);
+    }
+    else if (const auto* request = std::get_if<request_fingerprint>(&key))
+        apply_quarantine(*request, *item.value);
+    else if (std::holds_alternative<configuration_key>(key))
+        apply_configuration(*item.value);
+}
+
+void gateway::apply_snapshot(const std::vector<store_change>& items)
+{
+    snapshot_contents contents;
+    for (const store_change& each : items)
+        run_guarded(each.key, [&] { apply_item(each, contents); });
+    m_registry.replace_all(contents.replicas, boot_now());
+    m_directory.remove_unlisted(contents.hosts, host_entry_expiry());
+    if (!contents.has_own_entry)
         m_registration.entry_lost();
-    m_is_registered = m_is_registered || has_own_entry;
+    m_is_registered = m_is_registered || contents.has_own_entry;
     m_has_snapshot = true;
-    m_log.write("snapshot", {{"replicas", std::to_string(replicas.size())},
-                             {"hosts", std::to_string(hosts.size())},
+    m_log.write("snapshot", {{"replicas", std::to_string(contents.replicas.size())},
+                             {"hosts", std::to_string(contents.hosts.size())},
                              {"revision", std::to_string(m_mirror.as_of().revision.value())}});
     on_hosts_changed();
 }
--- a/tanagerspur/testing/gateway_fixture.hpp
+++ b/tanagerspur/testing/gateway_fixture.hpp
@@ -3,9 +3,9 @@
 #ifndef TANAGERSPUR_TESTING_GATEWAY_FIXTURE_HPP
 #define TANAGERSPUR_TESTING_GATEWAY_FIXTURE_HPP
 
-#include "platform/codec.hpp"
 #include "stand_ins/memory_store.hpp"
 #include "tanagerspur/gateway/gateway.hpp"
+#include "tanagerspur/testing/failing_codec.hpp"
 #include "tanagerspur/testing/scripted_server.hpp"
 
 #include <memory>
@@ -33,6 +33,9 @@
     // Writes what another writer left among the entries of replicas.
     void put_odd_entry(const std::string& id, const std::string& value);
 
+    // Makes an unexpected exception of each reading of the entry of a replica or host.
+    void fail_decoding_of(const std::string& id) { m_codec.fail_for(id); }
+
     void remove_entry(const std::string& id);
 
     // Writes the entry of another host of the same zone and capacity. The host does not run.
@@ -96,7 +99,7 @@
     void start_replica(const std::string& id, scripted_server::script script);
 
     boost::asio::io_context m_io;
-    platform::codec m_codec;
+    failing_codec m_codec;
     stand_ins::memory_store m_store;
     std::vector<scripted_replica> m_replicas;
     endpoint m_callers;
--- a/tanagerspur/testing/odd_entry_test.cpp
+++ b/tanagerspur/testing/odd_entry_test.cpp
@@ -84,6 +84,7 @@
 {
     CPPUNIT_TEST_SUITE(odd_entry_test);
     CPPUNIT_TEST(odd_entry_does_not_keep_host_from_following_others);
+    CPPUNIT_TEST(unexpected_exception_at_entry_does_not_fail_snapshot);
     CPPUNIT_TEST(any_text_survives_as_parameter_of_query);
     CPPUNIT_TEST(odd_name_last_on_page_does_not_repeat_page);
     CPPUNIT_TEST(unreadable_item_does_not_fail_page_or_watch);
@@ -120,6 +121,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_arrivals["second"].size());
     }
 
+    void unexpected_exception_at_entry_does_not_fail_snapshot()
+    {
+        gateway_fixture fixture;
+        fixture.fail_decoding_of("a");
+        fixture.put_odd_entry("a", "{}");
+        fixture.fail_decoding_of("b");
+        fixture.add_host("b");
+        fixture.add_replica("good", [](const std::string&) { return scripted_answer{}; });
+        fixture.start();
+        CPPUNIT_ASSERT(fixture.request().starts_with("HTTP/1.1 200"));
+    }
+
     // A store may read a query as a form, in which a plus sign stands for a blank.
     void any_text_survives_as_parameter_of_query()
     {
