Names and comments after reading the change as a newcomer

Cause: two ways to give up a full read stood beside each other in store_mirror, and some names and comments told less than a newcomer needs.

No change of behaviour.

--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -41,7 +41,7 @@
 constexpr std::size_t once_replicas = 3;
 constexpr std::uint16_t ports_of_host = 6;
 // More than a page of the store, so that one of them is the last on its page.
-constexpr int odd_entries = 60;
+constexpr int odd_entry_count = 60;
 // Requests of each kind whose causes are looked up: enough to see all causes of a run.
 constexpr std::size_t most_explanations = 20;
 
@@ -129,7 +129,7 @@
 // Another writer's entries in the list of replicas. They name no replica to use.
 void soak_world::write_odd_entries()
 {
-    for (int i = 0; i < odd_entries; ++i)
+    for (int i = 0; i < odd_entry_count; ++i)
         m_platform->store().set(platform::replica_prefix + ("a&+#% " + std::to_string(i)), "{}");
 }
 
--- a/stand_ins/replica_stand_in.cpp
+++ b/stand_ins/replica_stand_in.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t queue = 12;
 // Seconds for which it wants no requests from a host that it refused one.
 constexpr const char* refusal_pause = "0.2";
-// Those of failed requests: HTTP has no status that is not from 100 to 599.
+// Statuses of failed requests, in turn. HTTP allows those from 100 to 599 only.
 constexpr std::array error_statuses{500, 0, 99, 600, 999};
 constexpr std::size_t records = 4;
 constexpr std::size_t record_bytes = 16;
--- a/tanagerspur/common/lenient_json.cpp
+++ b/tanagerspur/common/lenient_json.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-// Number of characters of an escape like "\\u00e9".
+// Length of an escape of a UTF-16 unit: a backslash, "u" and four hexadecimal digits.
 constexpr std::size_t unicode_escape_length = 6;
 
 // The UTF-16 unit of an escape at the position, or nullopt if there is none.
--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -74,7 +74,7 @@
 
 // The signatures of several answers are joined in a list, in which these characters separate and
 // quote.
-bool is_signature(std::string_view text)
+bool is_valid_signature(std::string_view text)
 {
     return !text.empty() && text.find_first_of(",\"") == std::string_view::npos;
 }
@@ -289,7 +289,7 @@
     record_idle_limit();
     const bool is_unusable_success =
         outcome.result == attempt_result::answered && outcome.answer.is_success() &&
-        (!is_signature(outcome.answer.signature) || !field("Content-Encoding").empty());
+        (!is_valid_signature(outcome.answer.signature) || !field("Content-Encoding").empty());
     outcome.answer.body = std::move(message.body());
     if (is_unusable_success)
     {
--- a/tanagerspur/store/store_mirror.cpp
+++ b/tanagerspur/store/store_mirror.cpp
@@ -70,15 +70,11 @@
 {
     const bool is_other_era = !m_is_first_page && page.as_of.era != m_pending_as_of.era;
     if (page.outcome != store_outcome::ok || is_other_era || page.as_of.era < m_log.as_of().era)
-    {
-        mark_disconnected();
-        return retry([this] { read_all(m_may_be_stale); });
-    }
+        return restart_read();
     if (is_page_repeated(page))
     {
         m_observer.on_page_repeated(page.items.empty() ? "" : page.items.back().key);
-        mark_disconnected();
-        return retry([this] { read_all(m_may_be_stale); });
+        return restart_read();
     }
     m_pending_as_of =
         std::exchange(m_is_first_page, false) ? page.as_of : std::min(m_pending_as_of, page.as_of);
@@ -94,6 +90,12 @@
     watch(m_options.watch_wait);
 }
 
+void store_mirror::restart_read()
+{
+    mark_disconnected();
+    retry([this] { read_all(m_may_be_stale); });
+}
+
 // The next page begins after the last key of the one before. If the store takes that key for
 // another one, the same pages come again, and the read would not end.
 bool store_mirror::is_page_repeated(const range_page& page)
--- a/tanagerspur/store/store_mirror.hpp
+++ b/tanagerspur/store/store_mirror.hpp
@@ -56,8 +56,8 @@
     virtual duration on_first_read(const std::vector<store_change>& items) = 0;
     // Called when all keys have been read, as of the position of the first page.
     virtual void on_full_read(full_read_cause why, store_position as_of) = 0;
-    // Called when a full read is given up and begun again, because a page ended with a key with
-    // which an earlier page ended.
+    // Called when a page that others follow ends with the same key as an earlier page of the same
+    // full read, or has no item. The read begins again after a delay.
     virtual void on_page_repeated(const std::string& last_key) = 0;
     // Called when the store has been restored from a copy, before the changes that this makes.
     virtual void on_store_restored(store_position now, store_position last_known) = 0;
@@ -95,6 +95,7 @@
     void catch_up();
     void on_page(range_page page);
     bool is_page_repeated(const range_page& page);
+    void restart_read();
     void watch(duration wait);
     void on_changes(const change_list& list);
     void mark_disconnected();
