An answer without a length and an id does not leave its attempt open

What callers saw: nothing until their time limit, where a replica closed its connection in order behind a refusal or a signed answer without a length and without the request's id, or behind one that belongs to another request. The attempt was neither repeated nor answered.

Cause: at the end of the connection, the answer was handed on with the connection already marked as one that had carried foreign bytes. On such a connection, an answer without an id is not taken, and the next one was awaited; but nothing was being read any more. After an answer to another request the same happened.

Ruled out: the status check and interim answers; the code before them fails the same tests.

Evidence: found by the property test of malformed answers, once another example changed what it draws (89th case: a refusal whose Content-Length field was spoiled). answer_without_length_and_id_does_not_leave_attempt_open and answer_of_another_request_without_length_fails_attempt failed before, without an outcome within two seconds.

Why this works: that the connection is not kept follows from the parser, which knows that the answer had no length; the mark is left to foreign bytes. What is still unanswered when the connection has ended fails.

--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -210,11 +210,9 @@
         error_code parse_error;
         m_parser->put_eof(parse_error);
         if (!parse_error && m_parser->is_done())
-        {
-            m_must_close = true;
-            return finish_answer();
-        }
+            finish_answer();
     }
+    // After an answer to another request, nothing follows.
     close(attempt_result::failed, error.message());
 }
 
@@ -284,7 +282,8 @@
     outcome.answer.signature = std::string{field(m_header_names.signature)};
     if (m_wants_fields || !outcome.answer.is_success())
         outcome.answer.fields = end_to_end_fields(message, {});
-    const bool keep = message.keep_alive() && !m_must_close && m_is_request_written;
+    // The parser's view includes that an answer without a length ends with its connection.
+    const bool keep = m_parser->keep_alive() && !m_must_close && m_is_request_written;
     m_has_answered = true;
     record_idle_limit();
     const bool is_unusable_success =
--- a/tanagerspur/testing/replica_pool_test.cpp
+++ b/tanagerspur/testing/replica_pool_test.cpp
@@ -37,6 +37,8 @@
     CPPUNIT_TEST(truncated_answer_fails_attempt);
     CPPUNIT_TEST(answer_that_ends_in_its_head_fails_attempt);
     CPPUNIT_TEST(answer_without_length_requires_orderly_close);
+    CPPUNIT_TEST(answer_without_length_and_id_does_not_leave_attempt_open);
+    CPPUNIT_TEST(answer_of_another_request_without_length_fails_attempt);
     CPPUNIT_TEST(success_without_signature_fails_attempt);
     CPPUNIT_TEST(signature_that_reads_as_several_fails_attempt);
     CPPUNIT_TEST(reports_refusal_with_load);
@@ -207,6 +209,43 @@
         CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
     }
 
+    // A refusal and a signed answer may lack the id, also if they end with their connection.
+    void answer_without_length_and_id_does_not_leave_attempt_open()
+    {
+        serve(
+            [](const std::string&)
+            {
+                return scripted_answer{"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\nfull",
+                                       scripted_answer::connection_action::close};
+            });
+        CPPUNIT_ASSERT(run(1).result == attempt_result::refused);
+        tearDown();
+        setUp();
+        serve(
+            [](const std::string&)
+            {
+                return scripted_answer{"HTTP/1.1 200 OK\r\nSignature: s\r\n\r\nall of it",
+                                       scripted_answer::connection_action::close};
+            });
+        const attempt_outcome& outcome = run(1);
+        CPPUNIT_ASSERT(outcome.result == attempt_result::answered);
+        CPPUNIT_ASSERT_EQUAL(std::string{"all of it"}, outcome.answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_pool->open_connections());
+    }
+
+    // Nothing follows on the connection, so that the attempt is over.
+    void answer_of_another_request_without_length_fails_attempt()
+    {
+        serve(
+            [](const std::string&)
+            {
+                return scripted_answer{
+                    "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nSignature: s\r\n\r\nforeign",
+                    scripted_answer::connection_action::close};
+            });
+        CPPUNIT_ASSERT(run(1).result == attempt_result::failed);
+    }
+
     void success_without_signature_fails_attempt()
     {
         serve(
