--- a/tanagerspur/testing/malformed_message_test.cpp
+++ b/tanagerspur/testing/malformed_message_test.cpp
@@ -2,6 +2,7 @@
 // Valid messages are truncated, changed, repeated and mixed, and sent to each server and
 // connection.
 
+#include "tanagerspur/common/http_status.hpp"
 #include "tanagerspur/gateway/event_loop.hpp"
 #include "tanagerspur/net/ingress_server.hpp"
 #include "tanagerspur/net/replica_pool.hpp"
@@ -39,7 +40,8 @@
     "3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n",
     "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLoad: 3,4,2\r\nKeep-Alive: timeout=5\r\n"
     "Content-Length: 0\r\n\r\n",
-    "HTTP/1.1 100 Continue\r\n\r\n"};
+    "HTTP/1.1 100 Continue\r\n\r\n"
+    "HTTP/1.1 000 X\r\nRequest-Id: 1\r\nSignature: s\r\nContent-Length: 1\r\n\r\na"};
 
 rc::Gen<std::string> mutated(const std::vector<std::string>& corpus)
 {
@@ -211,6 +213,9 @@
                 io.poll();
                 RC_ASSERT(outcomes.size() == 1);
                 const attempt_outcome& ended = outcomes[0];
+                if (ended.result == attempt_result::answered ||
+                    ended.result == attempt_result::refused)
+                    RC_ASSERT(is_final_status(ended.answer.status));
                 if (ended.result == attempt_result::answered && ended.answer.is_success())
                     RC_ASSERT(!ended.answer.signature.empty());
                 if (ended.result == attempt_result::refused)
