--- a/tanagerspur/net/replica_connection.cpp
+++ b/tanagerspur/net/replica_connection.cpp
@@ -190,7 +190,7 @@
         if (error)
             return close(attempt_result::failed, error.message());
         if (m_parser->is_header_done() && !has_valid_status())
-            return close(attempt_result::failed, "status out of range");
+            return close(attempt_result::failed, "invalid status");
         if (m_parser->is_done())
             finish_answer();
         else if (used == 0)
@@ -212,7 +212,7 @@
         if (!parse_error && m_parser->is_done())
             finish_answer();
     }
-    // After an answer to another request, nothing follows.
+    // Also ends an attempt whose connection has ended behind an answer to another request.
     close(attempt_result::failed, error.message());
 }
 
