System tests: an incomplete answer is printed, with the hosts' warnings

Change: a failed check of a complete answer prints the answer, its status, curl's result and the time it took; a test that failed prints the hosts' warnings; the wait says when it timed out. No check, bound or time limit is changed.

--- a/system_tests/common.sh
+++ b/system_tests/common.sh
@@ -18,6 +18,7 @@
     else
         echo "  FAILED: $what"
         FAILED=1
+        [[ " $* " != *" is_complete "* ]] || show_last_answer
     fi
 }
 
@@ -42,7 +43,15 @@
     curl -s -X POST "http://$(host_address "$host"):8080/v1/search?service=$service" -d body "$@"
 }
 
-is_complete() { query "$@" | jq -e .coverage.complete >/dev/null; }
+# Keeps the answer, and how the call ended, for show_last_answer.
+is_complete() {
+    query "$@" -w '%{stderr}status %{http_code}, curl %{exitcode}, %{time_total} s' \
+        2>"$RUN/answer.end" | tee "$RUN/answer" | jq -e .coverage.complete >/dev/null
+}
+
+show_last_answer() {
+    echo "    answer: $(cut -c1-2000 "$RUN/answer") $(cat "$RUN/answer.end")"
+}
 
 # Whatever happened, no target carried more than its limits.
 check_limits() {
@@ -50,4 +59,8 @@
     check "no target at its connection cap" test "$(target_counter targets_at_connection_cap)" = 0
 }
 
-finish() { exit "$FAILED"; }
+# After a failure the hosts' warnings are printed: a later run can't show what they said.
+finish() {
+    ((FAILED == 0)) || grep -hE '^[^ ]+ [WE] ' "$RUN"/h*.log | sort | tail -n 40 | sed 's/^/    /'
+    exit "$FAILED"
+}
--- a/system_tests/whole_path.sh
+++ b/system_tests/whole_path.sh
@@ -13,7 +13,7 @@
 check "applying it again changes nothing" grep -q unchanged <(cli apply "$MANIFEST")
 
 for ((host = 1; host <= HOST_COUNT; host++)); do
-    wait_for 5 is_complete "$host" order-desk
+    wait_for 5 is_complete "$host" order-desk || echo "  not complete within 5 s: host $host"
     check "host $host answers completely" is_complete "$host" order-desk
 done
 answer=$(query 2 proof-gallery -H 'Request-Id: mine-1')
